--- /dev/null
+++ b/src/main/java/brooklock/Rules.java
@@ -0,0 +1,714 @@
+package brooklock;
+
+import brooklock.RouterApi.Action;
+import brooklock.RouterApi.ClassSettings;
+import brooklock.RouterApi.Done;
+import brooklock.RouterApi.Effect;
+import brooklock.RouterApi.Event;
+import brooklock.RouterApi.Group;
+import brooklock.RouterApi.HostEntry;
+import brooklock.RouterApi.HostList;
+import brooklock.RouterApi.HostState;
+import brooklock.RouterApi.ListKind;
+import brooklock.RouterApi.Note;
+import brooklock.RouterApi.Outcome;
+import brooklock.RouterApi.Purged;
+import brooklock.RouterApi.Request;
+import brooklock.RouterApi.Settings;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Every decision of one router, in the order a request lives: counted and looked up on the hot list, given an edge
+ * cache and a source, sent, watched, tried again or given up. The interface is RouterApi.java. Times are nanoseconds
+ * of the event's clock; a request's "work" is the time its bytes need at the pace of one transfer.
+ */
+public final class Rules {
+    /** Interval of the hot list: about as long as edge caches keep what nobody asks for again. */
+    private static final long INTERVAL_NS = 10_000_000_000L;
+    /** Objects counted in one interval; the oldest goes first. Bounds memory, far above what is asked in 10 s. */
+    private static final int COUNTED_MAX = 50_000;
+    /** Times asked in this interval above which an object is spread over two caches, and over three. */
+    private static final int WIDE_AT = 20;
+    private static final int WIDER_AT = 60;
+    /** Rank of a listed copy: the middle one, so that it pushes out leftovers and never what ranks higher. */
+    private static final int LISTED_RANK = 2;
+    /** A cache is passed over when its outstanding work is more than this multiple of its peers' mean. */
+    private static final double LOAD_BOUND = 1.3;
+    /** ... and more than this many mean requests above it, so that small numbers don't move requests about. */
+    private static final double LOAD_SLACK = 3;
+    /** Share of the allowed multiple that all routers together plan to use on a cold host. */
+    private static final double COLD_MARGIN = 0.6;
+    /** A cold host is never planned above this multiple of what it can do: it would only answer late. */
+    private static final double COLD_MOST = 1.3;
+    /** Span of the running rates, ns: longer than a burst, shorter than a start. */
+    private static final double RATE_SPAN_NS = 8e9;
+    /** Weights of one failure and of one success in a host's failure share, and the share at which it ails. */
+    private static final double FAIL_WEIGHT = 0.25;
+    private static final double OK_WEIGHT = 0.1;
+    private static final double AILING = 0.4;
+    /** An ailing host gets one trial request this often, ns. */
+    private static final long TRIAL_NS = 1_000_000_000L;
+    /** A host is silent with this many attempts out and nothing heard for this multiple of the longest aim. */
+    private static final int SILENT_ATTEMPTS = 3;
+    private static final double SILENT_AIMS = 2;
+    /** Share of its aim after which an unanswered request may get a second copy. */
+    private static final double HEDGE_AT = 0.6;
+    /** Second copies and further tries are each limited to these shares of requests, with this much saved up. */
+    private static final double HEDGE_SHARE = 0.05;
+    private static final double RETRY_SHARE = 0.2;
+    private static final double SAVED_MAX = 20;
+    /** Ticks before the client's deadline at which the last answer goes out. */
+    private static final int LAST_TICKS = 2;
+    /** Purges are heeded this much longer than the stated end, and cut copies this much younger, ns. */
+    private static final long PURGE_MARGIN_NS = 1_000_000L;
+    /** Weight of one new sample in a running mean. */
+    private static final double MEAN_WEIGHT = 0.05;
+
+    private final Settings set;
+    private final long seed;
+    private final TreeMap<Long, Host> hosts = new TreeMap<>();
+    private final Map<Long, Req> requests = new HashMap<>();
+    private final Map<Long, Alarm> alarms = new HashMap<>();
+    private final Map<Long, Long> purgedObjects = new LinkedHashMap<>();
+    private final Map<Integer, Long> purgedGroups = new LinkedHashMap<>();
+    private final double[] classWork;
+    private Map<Long, Asked> listed = new HashMap<>();
+    private LinkedHashMap<Long, Asked> counted = new LinkedHashMap<>();
+    private long intervalEnd;
+    private long lastToken;
+    private double hedges = SAVED_MAX;
+    private double retries = SAVED_MAX;
+    private final Rate fills = new Rate();
+    private final Rate served = new Rate();
+    private long now;
+    private List<Action> out;
+
+    /** One object's count in an interval, and the least time in which a copy of it was sent. */
+    private static final class Asked {
+        int times;
+        int lastPart = -1;
+        double work;
+    }
+
+    /** A running rate of work. */
+    private static final class Rate {
+        double sum;
+        long at;
+
+        void add(double work, long now) {
+            sum = sum * Math.exp((at - now) / RATE_SPAN_NS) + work;
+            at = now;
+        }
+
+        double perNs(long now) {
+            return sum * Math.exp((at - now) / RATE_SPAN_NS) / RATE_SPAN_NS;
+        }
+    }
+
+    /** What this router knows of a host. */
+    private static final class Host {
+        HostEntry entry;
+        double load;
+        int attempts;
+        double failShare;
+        long trialAt;
+        long unansweredSince;
+        double budget;
+        long budgetAt;
+    }
+
+    /** An attempt that is out. */
+    private static final class Attempt {
+        Host host;
+        Host source;
+        long sentAt;
+        double work;
+        boolean over;
+    }
+
+    /** A request this router has taken. */
+    private static final class Req {
+        Request ask;
+        ClassSettings cls;
+        Asked asked;
+        boolean hot;
+        double work;
+        long aimAt;
+        boolean closed;
+        boolean mayHaveRun;
+        long firstSentAt;
+        int open;
+        final List<Attempt> attempts = new ArrayList<>();
+    }
+
+    private record Alarm(long request, boolean last) {
+    }
+
+    /** An instance with its settings and the seed of its random choices. */
+    public Rules(Settings settings, long seed) {
+        this.set = settings;
+        this.seed = seed;
+        classWork = new double[settings.classes().size()];
+        for (int i = 0; i < classWork.length; i++) {
+            classWork[i] = settings.classes().get(i).aimNs();
+        }
+    }
+
+    /** Begins: the hot list is empty. */
+    public void start(long clock, List<Action> actions) {
+        begin(clock, actions);
+        intervalEnd = now + INTERVAL_NS;
+        if (set.listIsAsked()) {
+            out.add(new RouterApi.Watch());
+        }
+    }
+
+    /** Decides what to do about one event. */
+    public void on(long clock, Event event, List<Action> actions) {
+        begin(clock, actions);
+        turnInterval();
+        if (event instanceof Request e) {
+            take(e);
+        } else if (event instanceof Done e) {
+            ended(e);
+        } else if (event instanceof RouterApi.TimerFired e) {
+            alarm(alarms.remove(e.token()));
+        } else if (event instanceof RouterApi.Lapsed e) {
+            close(requests.get(e.id()));
+        } else if (event instanceof RouterApi.Streaming e) {
+            close(requests.get(e.id()));
+        } else if (event instanceof HostList e) {
+            hear(e);
+        } else if (event instanceof Purged e) {
+            purge(e);
+        }
+    }
+
+    private void begin(long clock, List<Action> actions) {
+        now = clock;
+        out = actions;
+    }
+
+    // ---- The hot list
+
+    /** At the interval's end what was counted becomes the list; a whole interval without events leaves it empty. */
+    private void turnInterval() {
+        if (now < intervalEnd) {
+            return;
+        }
+        listed = now < intervalEnd + INTERVAL_NS ? counted : new HashMap<>();
+        counted = new LinkedHashMap<>();
+        intervalEnd += ((now - intervalEnd) / INTERVAL_NS + 1) * INTERVAL_NS;
+    }
+
+    /** Counts an object. Its parts, asked in their order, are one asking; a part asked again is another. */
+    private Asked count(Request r) {
+        Asked a = counted.get(r.object());
+        if (a == null) {
+            a = new Asked();
+            Asked before = listed.get(r.object());
+            a.work = before == null ? 0 : before.work;
+            counted.put(r.object(), a);
+            if (counted.size() > COUNTED_MAX) {
+                counted.remove(counted.keySet().iterator().next());
+            }
+        }
+        if (!r.repeat() && r.part() <= a.lastPart || a.lastPart < 0) {
+            a.times++;
+        }
+        a.lastPart = r.part();
+        return a;
+    }
+
+    private boolean isHot(Request r, Asked a) {
+        return listed.containsKey(r.object()) || a.times > 1;
+    }
+
+    private static int width(Asked a) {
+        return a.times > WIDER_AT ? 3 : a.times > WIDE_AT ? 2 : 1;
+    }
+
+    // ---- A request comes
+
+    private void take(Request r) {
+        Req q = new Req();
+        q.ask = r;
+        q.cls = set.classes().get(r.cls());
+        q.asked = count(r);
+        q.hot = isHot(r, q.asked);
+        q.work = workOf(r, q.asked);
+        q.aimAt = now + q.cls.aimNs() + (long) (q.cls.aimStretch() * q.work);
+        requests.put(r.id(), q);
+        hedges = Math.min(SAVED_MAX, hedges + HEDGE_SHARE);
+        retries = Math.min(SAVED_MAX, retries + RETRY_SHARE);
+        setAlarm(r.deadlineNs() - LAST_TICKS * set.tickNs(), r.id(), true);
+        launch(q);
+        if (!q.closed && q.cls.effect() == Effect.SAFE && set.limits().mayDuplicate()) {
+            setAlarm(now + (long) ((q.aimAt - now) * HEDGE_AT), r.id(), false);
+        }
+    }
+
+    /** Told sizes count; else the least time seen for the object, else the class's mean. */
+    private double workOf(Request r, Asked a) {
+        if (r.sizeKb() > 0 && set.flowKbPerS() > 0) {
+            return r.sizeKb() / set.flowKbPerS() * 1e9;
+        }
+        return a.work > 0 ? a.work : classWork[r.cls()];
+    }
+
+    private void setAlarm(long at, long request, boolean last) {
+        lastToken = (lastToken + 1) & 0xffffffffL;
+        alarms.put(lastToken, new Alarm(request, last));
+        out.add(new RouterApi.SetTimer(lastToken, Math.max(at, now + 1)));
+    }
+
+    /** Sends a request where the design says, or gives it up. Returns whether it was sent. */
+    private boolean launch(Req q) {
+        if (q.attempts.size() >= set.limits().tries()) {
+            return false;
+        }
+        Host target;
+        Host source;
+        if (q.cls.goesThrough() && set.direct()) {
+            target = pickOrigin();
+            source = target;
+        } else {
+            target = pickEdge(q);
+            source = q.cls.goesThrough() ? pickOrigin() : pickSource(q);
+            if (target == null && set.direct()) {
+                target = source;
+                source = pickOrigin();
+            }
+        }
+        if (target != null) {
+            send(q, target, source == null ? target : source);
+            return true;
+        }
+        if (q.open == 0) {
+            giveUp(q);
+        }
+        return false;
+    }
+
+    // ---- Which edge cache, which source
+
+    /** Caches of the own location by rendezvous hashing, each passed over if it ails, is cold or too busy. */
+    private Host pickEdge(Req q) {
+        List<Host> order = new ArrayList<>();
+        double load = 0;
+        double weight = 0;
+        for (Host h : hosts.values()) {
+            if (isCache(h) && h.entry.zone() == set.zone() && ready(h)) {
+                order.add(h);
+                load += h.load;
+                weight += weight(h);
+            }
+        }
+        if (order.isEmpty()) {
+            return null;
+        }
+        long copy = mix(q.ask.object() * 31 + q.ask.part());
+        order.sort((a, b) -> Double.compare(score(copy, b), score(copy, a)));
+        double bound = LOAD_BOUND * load / weight + LOAD_SLACK * meanWork() / weight * order.size();
+        Host best = null;
+        int left = width(q.asked);
+        for (Host h : order) {
+            if (tried(q, h) || !fit(h) || h.load / weight(h) > bound || !affordable(h, q)) {
+                continue;
+            }
+            best = best == null || h.load / weight(h) < best.load / weight(best) ? h : best;
+            if (--left == 0) {
+                break;
+            }
+        }
+        return best != null ? best : leastLoaded(order, q);
+    }
+
+    /** Where every cache is too busy or ails, the least busy one that the rules allow, tried ones last. */
+    private Host leastLoaded(List<Host> order, Req q) {
+        Host best = null;
+        for (Host h : order) {
+            if (affordable(h, q) && (best == null || rank(q, h) < rank(q, best))) {
+                best = h;
+            }
+        }
+        return best;
+    }
+
+    private double rank(Req q, Host h) {
+        return h.load / weight(h) + (tried(q, h) ? 1e15 : 0) + (ailing(h) ? 1e12 : 0);
+    }
+
+    /** Parents of the own hub by hash, then other parents, then the origin. */
+    private Host pickSource(Req q) {
+        Host best = null;
+        double bestScore = 0;
+        long copy = mix(q.ask.object() * 31 + q.ask.part());
+        for (Host h : hosts.values()) {
+            if (isParent(h) && ready(h) && !refusedBy(q, h) && affordable(h, q) && fit(h)) {
+                double s = score(copy, h) + (ownHub(h) ? 1e6 : 0);
+                if (best == null || s > bestScore) {
+                    best = h;
+                    bestScore = s;
+                }
+            }
+        }
+        return best != null ? best : pickOrigin();
+    }
+
+    private Host pickOrigin() {
+        for (Host h : hosts.values()) {
+            if (h.entry.kind() == set.originKind() && ready(h)) {
+                return h;
+            }
+        }
+        return null;
+    }
+
+    private boolean isParent(Host h) {
+        return h.entry.kind() == set.parentKind();
+    }
+
+    private boolean isCache(Host h) {
+        return !isParent(h) && h.entry.kind() != set.originKind();
+    }
+
+    private boolean ownHub(Host h) {
+        return set.zone() < set.hubByZone().size() && h.entry.zone() == set.hubByZone().get(set.zone());
+    }
+
+    private double weight(Host h) {
+        return set.weighted() && h.entry.weight() > 0 ? h.entry.weight() : 1;
+    }
+
+    private boolean ready(Host h) {
+        return h.entry.state() == HostState.READY;
+    }
+
+    private static boolean tried(Req q, Host h) {
+        return q.attempts.stream().anyMatch(a -> a.host == h);
+    }
+
+    private static boolean refusedBy(Req q, Host h) {
+        return q.attempts.stream().anyMatch(a -> a.source == h);
+    }
+
+    private double score(long copy, Host h) {
+        double u = ((mix(copy ^ mix(h.entry.host())) >>> 11) + 0.5) / (1L << 53);
+        return -weight(h) / Math.log(u);
+    }
+
+    private static long mix(long x) {
+        x = (x ^ (x >>> 30)) * 0xbf58476d1ce4e5b9L;
+        x = (x ^ (x >>> 27)) * 0x94d049bb133111ebL;
+        return x ^ (x >>> 31);
+    }
+
+    // ---- Health: does a host answer, and does it answer well
+
+    /** Fit for ordinary requests; an ailing host gets one trial now and then. */
+    private boolean fit(Host h) {
+        if (!ailing(h)) {
+            return true;
+        }
+        if (now < h.trialAt) {
+            return false;
+        }
+        h.trialAt = now + TRIAL_NS;
+        return true;
+    }
+
+    private boolean ailing(Host h) {
+        return h.failShare > AILING || silent(h);
+    }
+
+    /** Several attempts out and not a word since the first of them: found before the list tells. */
+    private boolean silent(Host h) {
+        return h.attempts >= SILENT_ATTEMPTS && now - h.unansweredSince > SILENT_AIMS * longestAim();
+    }
+
+    private long longestAim() {
+        return set.classes().stream().mapToLong(ClassSettings::aimNs).max().orElse(0);
+    }
+
+    private void heard(Host h, boolean well) {
+        h.unansweredSince = now;
+        h.failShare += well ? -OK_WEIGHT * h.failShare : FAIL_WEIGHT * (1 - h.failShare);
+    }
+
+    // ---- Cold hosts
+
+    /** Share of its capacity that a host surely has by now. */
+    private double warmth(Host h) {
+        boolean parent = isParent(h);
+        double from = parent ? set.guards().parentColdFrom() : set.guards().coldFrom();
+        long span = parent ? set.guards().parentColdNs() : set.guards().coldNs();
+        long age = now - h.entry.startedAtNs();
+        return h.entry.startedAtNs() == 0 || age >= span ? 1 : from + (1 - from) * Math.max(0, age) / span;
+    }
+
+    /**
+     * Guards against pushing over a cold host. Its budget grows with its warmth times what this router's own traffic
+     * gives a warm peer, which all routers together cannot send above a peer's capacity, times a part of the allowed
+     * multiple.
+     */
+    private boolean affordable(Host h, Req q) {
+        double warmth = warmth(h);
+        if (warmth >= 1 || !isCache(h) && !isParent(h)) {
+            return true;
+        }
+        double multiple = isParent(h) ? set.guards().parentFallMultiple() : set.guards().fallMultiple();
+        double rate = peerRate(h) * warmth * Math.min(COLD_MOST, multiple * COLD_MARGIN);
+        double most = Math.max(rate * set.guards().overloadForNs() / 2, cost(q));
+        h.budget = Math.min(most, h.budget + rate * (now - Math.max(h.budgetAt, h.entry.startedAtNs())));
+        h.budgetAt = now;
+        return h.budget >= cost(q);
+    }
+
+    private double meanWork() {
+        return java.util.Arrays.stream(classWork).average().orElse(0);
+    }
+
+    private double cost(Req q) {
+        return classWork[q.ask.cls()];
+    }
+
+    /** Work that a warm host of this one's size takes from this router. */
+    private double peerRate(Host h) {
+        double size = 0;
+        for (Host p : hosts.values()) {
+            if (ready(p) && isParent(p) == isParent(h)
+                    && (isParent(h) ? ownHub(p) : isCache(p) && p.entry.zone() == set.zone())) {
+                size += weight(p) * warmth(p);
+            }
+        }
+        return (isParent(h) ? fills : served).perNs(now) * weight(h) / Math.max(size, weight(h));
+    }
+
+    // ---- Sending
+
+    private void send(Req q, Host target, Host source) {
+        Attempt a = new Attempt();
+        a.host = target;
+        a.source = source;
+        a.sentAt = now;
+        a.work = q.work;
+        if (q.attempts.isEmpty()) {
+            q.firstSentAt = now;
+        }
+        q.attempts.add(a);
+        q.open++;
+        if (target.attempts++ == 0) {
+            target.unansweredSince = now;
+        }
+        target.load += a.work;
+        target.budget -= cost(q);
+        if (source != target) {
+            source.budget -= cost(q);
+        }
+        boolean hot = q.hot && isCache(target) && !q.cls.goesThrough();
+        out.add(new RouterApi.Get(q.ask.id(), target.entry.host(), Math.max(1, q.ask.deadlineNs() - now),
+                source.entry.host(), hot ? LISTED_RANK : 0, oldest(q), set.joins() && !q.cls.goesThrough(), false));
+    }
+
+    // ---- Purges
+
+    private void purge(Purged p) {
+        long moment = now - p.agoNs();
+        purgedObjects.values().removeIf(this::forgotten);
+        purgedGroups.values().removeIf(this::forgotten);
+        if (p.object() != 0) {
+            purgedObjects.merge(p.object(), moment, Math::max);
+        } else {
+            purgedGroups.merge(p.group(), moment, Math::max);
+        }
+    }
+
+    private boolean forgotten(long moment) {
+        return now > moment + set.guards().purgeDoneNs() + PURGE_MARGIN_NS;
+    }
+
+    /** The oldest copy that will do: younger than the last purge; a copy's age only grows on the way. */
+    private long oldest(Req q) {
+        Long object = purgedObjects.get(q.ask.object());
+        Long group = purgedGroups.get(q.ask.group());
+        long moment = Math.max(object == null ? Long.MIN_VALUE : object, group == null ? Long.MIN_VALUE : group);
+        if (moment == Long.MIN_VALUE || forgotten(moment)) {
+            return 0;
+        }
+        long age = Math.max(1, now - moment - PURGE_MARGIN_NS);
+        return q.cls.freshNs() > 0 ? Math.min(q.cls.freshNs(), age) : age;
+    }
+
+    // ---- An attempt ends
+
+    private void ended(Done d) {
+        Req q = requests.get(d.id());
+        if (q == null || d.attempt() >= q.attempts.size() || q.attempts.get(d.attempt()).over) {
+            return;
+        }
+        Attempt a = q.attempts.get(d.attempt());
+        a.over = true;
+        q.open--;
+        a.host.attempts--;
+        a.host.load = Math.max(0, a.host.load - a.work);
+        learn(q, a, d);
+        if (d.closed()) {
+            close(q);
+        } else if (!q.closed) {
+            q.mayHaveRun |= !d.outcome().provesNotRun;
+            again(q);
+        }
+        forget(q);
+    }
+
+    /** Who is to blame: the host that answered badly or not at all, or the source that its note names. */
+    private void learn(Req q, Attempt a, Done d) {
+        boolean filled = d.note() == Note.FILLED || d.note() == Note.FILLED_BY_ORIGIN;
+        if (d.outcome() == Outcome.OK) {
+            heard(a.host, true);
+            served.add(isCache(a.host) ? cost(q) : 0, now);
+            learnWork(q, a, d);
+            if (filled) {
+                heard(a.source, true);
+            }
+        } else if (d.note() == Note.SOURCE_REFUSED || d.note() == Note.SOURCE_BROKE) {
+            heard(a.host, true);
+            heard(a.source, false);
+        } else if (d.outcome() == Outcome.TIMEOUT && a.host.unansweredSince <= a.sentAt
+                || d.outcome() == Outcome.ERROR || d.outcome() == Outcome.RESET
+                || d.outcome() == Outcome.CONNECT_FAILED) {
+            heard(a.host, false);
+        } else if (d.outcome() == Outcome.FULL || d.outcome() == Outcome.MISS) {
+            a.host.unansweredSince = now;
+        }
+        if (isParent(a.source) && filled) {
+            fills.add(cost(q), now);
+        } else if (isParent(a.source) && a.source != a.host && d.outcome() == Outcome.OK) {
+            a.source.budget += cost(q);
+        }
+    }
+
+    private void learnWork(Req q, Attempt a, Done d) {
+        double work = q.ask.sizeKb() > 0 ? a.work : d.tookNs();
+        if (q.ask.sizeKb() > 0 || d.note() == Note.HIT) {
+            classWork[q.ask.cls()] += MEAN_WEIGHT * (work - classWork[q.ask.cls()]);
+            q.asked.work = q.asked.work == 0 ? work : Math.min(q.asked.work, work);
+        }
+    }
+
+    /** One more try where the class, the count, the clock and the budget allow it; else the end. */
+    private void again(Req q) {
+        if (q.open > 0) {
+            return;
+        }
+        if (retries >= 1 && now < q.aimAt && mayResend(q)) {
+            retries--;
+            if (launch(q) || q.closed) {
+                return;
+            }
+        }
+        giveUp(q);
+    }
+
+    /** Rule 2: a keyed request only inside its group and window; an unsafe one only if it never ran. */
+    private boolean mayResend(Req q) {
+        return switch (q.cls.effect()) {
+            case SAFE -> true;
+            case KEYED -> !q.mayHaveRun
+                    || q.cls.keyGroup() == Group.ALL && now - q.firstSentAt < q.cls.keyWindowNs();
+            case UNSAFE -> !q.mayHaveRun;
+        };
+    }
+
+    private void alarm(Alarm alarm) {
+        Req q = alarm == null ? null : requests.get(alarm.request());
+        if (q == null || q.closed) {
+            return;
+        }
+        if (alarm.last()) {
+            giveUp(q);
+        } else if (q.open == 1 && !q.attempts.isEmpty()) {
+            hedge(q);
+        }
+    }
+
+    /** A second copy of a safe request whose host is silent, or, within a small share, merely late. */
+    private void hedge(Req q) {
+        Attempt first = q.attempts.get(q.attempts.size() - 1);
+        if (!ailing(first.host)) {
+            if (hedges < 1) {
+                return;
+            }
+            hedges--;
+        }
+        launch(q);
+    }
+
+    // ---- The end of a request
+
+    /** Answered at once: refused where that is harmless, with a hint when to come back, else failed. */
+    private void giveUp(Req q) {
+        boolean harmless = q.cls.effect() == Effect.SAFE || !q.mayHaveRun && q.open == 0
+                || q.cls.effect() == Effect.KEYED && q.cls.keyGroup() == Group.ALL;
+        out.add(harmless ? new RouterApi.Refuse(q.ask.id(), set.limits().retryAfter()
+                ? set.limits().maxRetryAfterNs() : 0) : new RouterApi.Fail(q.ask.id()));
+        if (q.asked.times > 0) {
+            q.asked.times--;
+        }
+        close(q);
+    }
+
+    private void close(Req q) {
+        if (q == null) {
+            return;
+        }
+        q.closed = true;
+        if (set.limits().cancel()) {
+            for (int i = 0; i < q.attempts.size(); i++) {
+                if (!q.attempts.get(i).over) {
+                    out.add(new RouterApi.Cancel(q.ask.id(), i));
+                }
+            }
+        }
+        forget(q);
+    }
+
+    private void forget(Req q) {
+        if (q.closed && q.open == 0) {
+            requests.remove(q.ask.id());
+        }
+    }
+
+    // ---- The list of hosts
+
+    private void hear(HostList l) {
+        if (l.kind() == ListKind.FAILED) {
+            out.add(new RouterApi.Watch());
+            return;
+        }
+        if (l.kind() != ListKind.DELTA) {
+            hosts.values().forEach(h -> h.entry = withState(h.entry, HostState.GONE));
+        }
+        for (HostEntry e : l.entries()) {
+            Host h = hosts.computeIfAbsent(e.host(), k -> new Host());
+            if (h.entry == null || h.entry.startedAtNs() != e.startedAtNs()) {
+                h.failShare = 0;
+                h.budget = 0;
+                h.budgetAt = now;
+                h.unansweredSince = now;
+            }
+            h.entry = e;
+        }
+        hosts.values().removeIf(h -> h.entry.state() == HostState.GONE && h.attempts == 0);
+    }
+
+    private static HostEntry withState(HostEntry e, HostState s) {
+        return new HostEntry(e.host(), e.zone(), e.kind(), e.cell(), s, e.weight(), e.startedAtNs());
+    }
+}
