--- a/src/main/java/brooklock/WireCodec.java
+++ b/src/main/java/brooklock/WireCodec.java
@@ -357,7 +357,7 @@
                         number(prices, "probe"), number(extra, "byteFee")),
                 (int) number(top, "ordinal"), (int) number(top, "balancers"), (int) number(top, "zone"),
                 numbers(extra, "hubByZone"), numbers(extra, "seatsByZone"),
-                (int) number(extra, "secondTierKind"), (int) number(extra, "storeKind"),
+                kind(extra, "secondTierKind"), kind(extra, "storeKind"),
                 !text(top, "weights").equals("off"), text(top, "discovery").equals("ask"),
                 whole(guards, "mustAskInNs"), flag(extra, "joins"), flag(extra, "passThroughOk"),
                 siblings(text(extra, "neighbours")), number(extra, "oneFlowKbPerS"), whole(top, "tickNs"),
@@ -422,6 +422,11 @@
         return given(at(o, key, i)) ? at(o, key, i).getAsDouble() : 0;
     }
 
+    /** A machine kind; the wire's word for none is -1. */
+    private static int kind(JsonObject o, String key) {
+        return given(o.get(key)) ? o.get(key).getAsInt() : -1;
+    }
+
     private static long whole(JsonObject o, String key) {
         return (long) number(o, key);
     }
