Gates: shed what would jam a cache's link or the way in, look before filling

Change: a gate per cache (hits) and one for fills, cut by a step when answers come late, grown by work in time; while fills are jammed a request first looks without a fill and only a miss asks for room. Could harm: where big answers are taken for late ones.

--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -66,6 +66,16 @@
     private static final int LAST_TICKS = 2;
     /** Purges are heeded this much longer than the stated end, and cut copies this much younger, ns. */
     private static final long PURGE_MARGIN_NS = 1_000_000L;
+    /** Share of late answers above which a gate closes by a step, the step, and its growth per work answered in time. */
+    private static final double LATE_SHARE = 0.15;
+    private static final double LATE_WEIGHT = 0.1;
+    private static final double GATE_CUT = 0.85;
+    private static final double GATE_GROWTH = 0.1;
+    /** A gate is left open for this many mean requests, and for dense worth by this much wider. */
+    private static final double GATE_LEAST = 2;
+    private static final double GATE_DENSE = 1.25;
+    /** Share of requests taken to need a fill until it has been measured. */
+    private static final double MISS_START = 0.3;
     /** Weight of one new sample in a running mean. */
     private static final double MEAN_WEIGHT = 0.05;
 
@@ -83,6 +93,9 @@
     private long lastToken;
     private double hedges = SAVED_MAX;
     private double retries = SAVED_MAX;
+    private final Gate fillGate = new Gate();
+    private double missShare = MISS_START;
+    private double density;
     private final Rate fills = new Rate();
     private final Rate served = new Rate();
     private long now;
@@ -110,10 +123,35 @@
         }
     }
 
+    /**
+     * How much work may be out at once on a way that several requests share. It guards against a jam, whatever its
+     * cause: once answers come late, more work only makes all of it late.
+     */
+    private static final class Gate {
+        double load;
+        double limit = Double.POSITIVE_INFINITY;
+        double late;
+        long cutAt;
+
+        boolean admits(double work) {
+            return load + work <= limit;
+        }
+
+        void answered(boolean onTime, double work, double least, long sentAt, long now) {
+            late += LATE_WEIGHT * ((onTime ? 0 : 1) - late);
+            if (onTime && load > limit / 2) {
+                limit += GATE_GROWTH * work;
+            } else if (!onTime && late > LATE_SHARE && sentAt >= cutAt) {
+                limit = Math.max(least, GATE_CUT * Math.min(limit, load + work));
+                cutAt = now;
+            }
+        }
+    }
+
     /** What this router knows of a host. */
     private static final class Host {
         HostEntry entry;
-        double load;
+        final Gate gate = new Gate();
         int attempts;
         double failShare;
         long trialAt;
@@ -128,6 +166,8 @@
         Host source;
         long sentAt;
         double work;
+        double fillWork;
+        boolean look;
         boolean over;
     }
 
@@ -138,9 +178,11 @@
         Asked asked;
         boolean hot;
         double work;
+        long takenAt;
         long aimAt;
         boolean closed;
         boolean mayHaveRun;
+        boolean missed;
         long firstSentAt;
         int open;
         final List<Attempt> attempts = new ArrayList<>();
@@ -241,9 +283,11 @@
         q.cls = set.classes().get(r.cls());
         q.asked = count(r);
         q.hot = isHot(r, q.asked);
+        q.takenAt = now;
         q.work = workOf(r, q.asked);
         q.aimAt = now + q.cls.aimNs() + (long) (q.cls.aimStretch() * q.work);
         requests.put(r.id(), q);
+        density += MEAN_WEIGHT * (q.cls.worth() / q.work - density);
         hedges = Math.min(SAVED_MAX, hedges + HEDGE_SHARE);
         retries = Math.min(SAVED_MAX, retries + RETRY_SHARE);
         setAlarm(r.deadlineNs() - LAST_TICKS * set.tickNs(), r.id(), true);
@@ -285,6 +329,14 @@
                 source = pickOrigin();
             }
         }
+        if (target != null && isCache(target) && !q.cls.goesThrough()) {
+            boolean fillNow = fillGate.admits(q.work * missShare * wide(q));
+            if (!target.gate.admits(q.work / wide(q)) || q.missed && !fillGate.admits(q.work / wide(q))) {
+                target = null;
+            } else if (!fillNow && !q.missed) {
+                source = target;
+            }
+        }
         if (target != null) {
             send(q, target, source == null ? target : source);
             return true;
@@ -295,6 +347,11 @@
         return false;
     }
 
+    /** What is worth more for its work finds a gate wider. */
+    private double wide(Req q) {
+        return q.cls.worth() / q.work >= density ? GATE_DENSE : 1;
+    }
+
     // ---- Which edge cache, which source
 
     /** Caches of the own location by rendezvous hashing, each passed over if it ails, is cold or too busy. */
@@ -305,7 +362,7 @@
         for (Host h : hosts.values()) {
             if (isCache(h) && h.entry.zone() == set.zone() && ready(h)) {
                 order.add(h);
-                load += h.load;
+                load += h.gate.load;
                 weight += weight(h);
             }
         }
@@ -318,10 +375,10 @@
         Host best = null;
         int left = width(q.asked);
         for (Host h : order) {
-            if (tried(q, h) || !fit(h) || h.load / weight(h) > bound || !affordable(h, q)) {
+            if (tried(q, h) || !fit(h) || h.gate.load / weight(h) > bound || !affordable(h, q)) {
                 continue;
             }
-            best = best == null || h.load / weight(h) < best.load / weight(best) ? h : best;
+            best = best == null || h.gate.load / weight(h) < best.gate.load / weight(best) ? h : best;
             if (--left == 0) {
                 break;
             }
@@ -341,7 +398,7 @@
     }
 
     private double rank(Req q, Host h) {
-        return h.load / weight(h) + (tried(q, h) ? 1e15 : 0) + (ailing(h) ? 1e12 : 0);
+        return h.gate.load / weight(h) + (tried(q, h) ? 1e15 : 0) + (ailing(h) ? 1e12 : 0);
     }
 
     /** Parents of the own hub by hash, then other parents, then the origin. */
@@ -391,7 +448,7 @@
     }
 
     private static boolean tried(Req q, Host h) {
-        return q.attempts.stream().anyMatch(a -> a.host == h);
+        return q.attempts.stream().anyMatch(a -> a.host == h && !a.look);
     }
 
     private static boolean refusedBy(Req q, Host h) {
@@ -506,7 +563,10 @@
         if (target.attempts++ == 0) {
             target.unansweredSince = now;
         }
-        target.load += a.work;
+        target.gate.load += a.work;
+        a.look = source == target && isCache(target);
+        a.fillWork = a.look || !isCache(target) ? 0 : q.missed ? a.work : a.work * missShare;
+        fillGate.load += a.fillWork;
         target.budget -= cost(q);
         if (source != target) {
             source.budget -= cost(q);
@@ -556,13 +616,15 @@
         a.over = true;
         q.open--;
         a.host.attempts--;
-        a.host.load = Math.max(0, a.host.load - a.work);
+        a.host.gate.load = Math.max(0, a.host.gate.load - a.work);
+        fillGate.load = Math.max(0, fillGate.load - a.fillWork);
         learn(q, a, d);
+        gates(q, a, d);
         if (d.closed()) {
             close(q);
         } else if (!q.closed) {
             q.mayHaveRun |= !d.outcome().provesNotRun;
-            again(q);
+            again(q, d.outcome());
         }
         forget(q);
     }
@@ -594,6 +656,20 @@
         }
     }
 
+    /** A hit tells of the cache's own link, a fill of the way in. */
+    private void gates(Req q, Attempt a, Done d) {
+        boolean ok = d.outcome() == Outcome.OK;
+        boolean hit = ok && d.note() == Note.HIT;
+        if (!isCache(a.host) || q.cls.goesThrough() || !ok && now < q.aimAt) {
+            return;
+        }
+        boolean onTime = ok && d.tookNs() < q.aimAt - q.takenAt;
+        if (ok && !q.missed && !a.look) {
+            missShare += MEAN_WEIGHT * ((hit ? 0 : 1) - missShare);
+        }
+        (hit || a.look ? a.host.gate : fillGate).answered(onTime, a.work, GATE_LEAST * cost(q), a.sentAt, now);
+    }
+
     private void learnWork(Req q, Attempt a, Done d) {
         double work = q.ask.sizeKb() > 0 ? a.work : d.tookNs();
         if (q.ask.sizeKb() > 0 || d.note() == Note.HIT) {
@@ -603,10 +679,17 @@
     }
 
     /** One more try where the class, the count, the clock and the budget allow it; else the end. */
-    private void again(Req q) {
+    private void again(Req q, Outcome outcome) {
         if (q.open > 0) {
             return;
         }
+        Attempt last = q.attempts.get(q.attempts.size() - 1);
+        if (last.look && outcome == Outcome.MISS && !q.missed) {
+            q.missed = true;
+            if (launch(q) || q.closed) {
+                return;
+            }
+        }
         if (retries >= 1 && now < q.aimAt && mayResend(q)) {
             retries--;
             if (launch(q) || q.closed) {
