--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -134,7 +134,7 @@
         long cutAt;
 
         boolean admits(double work) {
-            return load + work <= limit;
+            return load <= 0 || load + work <= limit;
         }
 
         void answered(boolean onTime, double work, double least, long sentAt, long now) {
@@ -183,6 +183,7 @@
         boolean closed;
         boolean mayHaveRun;
         boolean missed;
+        boolean sized;
         long firstSentAt;
         int open;
         final List<Attempt> attempts = new ArrayList<>();
@@ -284,6 +285,7 @@
         q.asked = count(r);
         q.hot = isHot(r, q.asked);
         q.takenAt = now;
+        q.sized = r.sizeKb() > 0 || q.asked.work > 0;
         q.work = workOf(r, q.asked);
         q.aimAt = now + q.cls.aimNs() + (long) (q.cls.aimStretch() * q.work);
         requests.put(r.id(), q);
@@ -660,7 +662,7 @@
     private void gates(Req q, Attempt a, Done d) {
         boolean ok = d.outcome() == Outcome.OK;
         boolean hit = ok && d.note() == Note.HIT;
-        if (!isCache(a.host) || q.cls.goesThrough() || !ok && now < q.aimAt) {
+        if (!isCache(a.host) || q.cls.goesThrough() || !ok && now < q.aimAt || !q.sized) {
             return;
         }
         boolean onTime = ok && d.tookNs() < q.aimAt - q.takenAt;
