--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -69,8 +69,8 @@
     /** Share of late answers above which a gate closes by a step, the step, and its growth per work answered in time. */
     private static final double LATE_SHARE = 0.15;
     private static final double LATE_WEIGHT = 0.1;
-    private static final double GATE_CUT = 0.85;
-    private static final double GATE_GROWTH = 0.1;
+    private static final double GATE_CUT = 0.8;
+    private static final double GATE_GROWTH = 0.2;
     /** A gate is left open for this many mean requests, and for dense worth by this much wider. */
     private static final double GATE_LEAST = 2;
     private static final double GATE_DENSE = 1.25;
@@ -131,19 +131,17 @@
         double load;
         double limit = Double.POSITIVE_INFINITY;
         double late;
-        long cutAt;
 
         boolean admits(double work) {
             return load <= 0 || load + work <= limit;
         }
 
-        void answered(boolean onTime, double work, double least, long sentAt, long now) {
+        void answered(boolean onTime, double work, double least) {
             late += LATE_WEIGHT * ((onTime ? 0 : 1) - late);
-            if (onTime && load > limit / 2) {
-                limit += GATE_GROWTH * work;
-            } else if (!onTime && late > LATE_SHARE && sentAt >= cutAt) {
-                limit = Math.max(least, GATE_CUT * Math.min(limit, load + work));
-                cutAt = now;
+            if (limit == Double.POSITIVE_INFINITY) {
+                limit = late > LATE_SHARE ? Math.max(least, load + work) : limit;
+            } else if (load + work > limit / 2) {
+                limit = Math.max(least, limit + (onTime ? GATE_GROWTH : -GATE_CUT) * work);
             }
         }
     }
@@ -669,7 +667,7 @@
         if (ok && !q.missed && !a.look) {
             missShare += MEAN_WEIGHT * ((hit ? 0 : 1) - missShare);
         }
-        (hit || a.look ? a.host.gate : fillGate).answered(onTime, a.work, GATE_LEAST * cost(q), a.sentAt, now);
+        (hit || a.look ? a.host.gate : fillGate).answered(onTime, a.work, GATE_LEAST * meanWork());
     }
 
     private void learnWork(Req q, Attempt a, Done d) {
