--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -401,14 +401,14 @@
         return h.gate.load / weight(h) + (tried(q, h) ? 1e15 : 0) + (ailing(h) ? 1e12 : 0);
     }
 
-    /** Parents of the own hub by hash, then other parents, then the origin. */
+    /** Parents of the own hub by hash, then other parents, ailing ones last; the origin only where none may be used. */
     private Host pickSource(Req q) {
         Host best = null;
         double bestScore = 0;
         long copy = mix(q.ask.object() * 31 + q.ask.part());
         for (Host h : hosts.values()) {
-            if (isParent(h) && ready(h) && !refusedBy(q, h) && affordable(h, q) && fit(h)) {
-                double s = score(copy, h) + (ownHub(h) ? 1e6 : 0);
+            if (isParent(h) && ready(h) && affordable(h, q)) {
+                double s = score(copy, h) + (ownHub(h) ? 1e6 : 0) - (refusedBy(q, h) ? 4e6 : 0) - (fit(h) ? 0 : 2e6);
                 if (best == null || s > bestScore) {
                     best = h;
                     bestScore = s;
