--- a/src/main/java/brooklock/RouterApi.java
+++ b/src/main/java/brooklock/RouterApi.java
@@ -127,10 +127,10 @@
 
     /**
      * Send an attempt. {@code source} equal to {@code host} asks for no fill; {@code keep} 0 keeps nothing;
-     * {@code oldestNs} 0 takes the class's fresh time.
+     * {@code oldestNs} 0 takes the class's fresh time; {@code heldOnly}: the source gives only what it holds.
      */
     public record Get(long id, long host, long limitNs, long source, int keep, long oldestNs, boolean join,
-            boolean renew) implements Action {
+            boolean heldOnly, boolean renew) implements Action {
     }
 
     /** Final answer: declined, trying again is harmless. */
--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -62,6 +62,8 @@
     private static final double HEDGE_SHARE = 0.05;
     private static final double RETRY_SHARE = 0.2;
     private static final double SAVED_MAX = 20;
+    /** First wait before what only the origin can answer is tried there again, doubled each time, ns. */
+    private static final long RETRY_WAIT_NS = 20_000_000L;
     /** Ticks before the client's deadline at which the last answer goes out. */
     private static final int LAST_TICKS = 2;
     /** Purges are heeded this much longer than the stated end, and cut copies this much younger, ns. */
@@ -94,7 +96,9 @@
     private double hedges = SAVED_MAX;
     private double retries = SAVED_MAX;
     private final Gate fillGate = new Gate();
+    private final Gate originGate = new Gate();
     private double missShare = MISS_START;
+    private double parentMissShare = MISS_START;
     private double density;
     private final Rate fills = new Rate();
     private final Rate served = new Rate();
@@ -165,7 +169,8 @@
         long sentAt;
         double work;
         double fillWork;
-        boolean look;
+        double originWork;
+        Reach reach;
         boolean over;
     }
 
@@ -181,13 +186,18 @@
         boolean closed;
         boolean mayHaveRun;
         boolean missed;
+        boolean parentLacks;
         boolean sized;
         long firstSentAt;
         int open;
         final List<Attempt> attempts = new ArrayList<>();
     }
 
-    private record Alarm(long request, boolean last) {
+    private enum Reach { NONE, CACHE, PARENT, ORIGIN }
+
+    private enum Purpose { LAST, HEDGE, RETRY }
+
+    private record Alarm(long request, Purpose purpose) {
     }
 
     /** An instance with its settings and the seed of its random choices. */
@@ -290,10 +300,10 @@
         density += MEAN_WEIGHT * (q.cls.worth() / q.work - density);
         hedges = Math.min(SAVED_MAX, hedges + HEDGE_SHARE);
         retries = Math.min(SAVED_MAX, retries + RETRY_SHARE);
-        setAlarm(r.deadlineNs() - LAST_TICKS * set.tickNs(), r.id(), true);
+        setAlarm(r.deadlineNs() - LAST_TICKS * set.tickNs(), r.id(), Purpose.LAST);
         launch(q);
         if (!q.closed && q.cls.effect() == Effect.SAFE && set.limits().mayDuplicate()) {
-            setAlarm(now + (long) ((q.aimAt - now) * HEDGE_AT), r.id(), false);
+            setAlarm(now + (long) ((q.aimAt - now) * HEDGE_AT), r.id(), Purpose.HEDGE);
         }
     }
 
@@ -305,9 +315,9 @@
         return a.work > 0 ? a.work : classWork[r.cls()];
     }
 
-    private void setAlarm(long at, long request, boolean last) {
+    private void setAlarm(long at, long request, Purpose purpose) {
         lastToken = (lastToken + 1) & 0xffffffffL;
-        alarms.put(lastToken, new Alarm(request, last));
+        alarms.put(lastToken, new Alarm(request, purpose));
         out.add(new RouterApi.SetTimer(lastToken, Math.max(at, now + 1)));
     }
 
@@ -329,16 +339,10 @@
                 source = pickOrigin();
             }
         }
-        if (target != null && isCache(target) && !q.cls.goesThrough()) {
-            boolean fillNow = fillGate.admits(q.work * missShare * wide(q));
-            if (!target.gate.admits(q.work / wide(q)) || q.missed && !fillGate.admits(q.work / wide(q))) {
-                target = null;
-            } else if (!fillNow && !q.missed) {
-                source = target;
-            }
-        }
-        if (target != null) {
-            send(q, target, source == null ? target : source);
+        boolean asIs = target == null || !isCache(target) || q.cls.goesThrough();
+        Reach reach = asIs ? Reach.ORIGIN : reach(q, target);
+        if (target != null && reach != Reach.NONE) {
+            send(q, target, source == null || reach == Reach.CACHE ? target : source, reach);
             return true;
         }
         if (q.open == 0) {
@@ -347,6 +351,21 @@
         return false;
     }
 
+    /**
+     * How far a request may reach now. Where a way is jammed it goes only as far as the way is free, and further on a
+     * miss if there is room by then: hits are served however jammed the fills are.
+     */
+    private Reach reach(Req q, Host target) {
+        double work = q.work / wide(q);
+        boolean fill = fillGate.admits(work * (q.missed ? 1 : missShare));
+        boolean origin = originGate.admits(work * (q.parentLacks ? 1 : q.missed ? parentMissShare
+                : missShare * parentMissShare));
+        if (!target.gate.admits(work) || q.missed && !fill || q.parentLacks && !origin) {
+            return Reach.NONE;
+        }
+        return !fill ? Reach.CACHE : origin ? Reach.ORIGIN : Reach.PARENT;
+    }
+
     /** What is worth more for its work finds a gate wider. */
     private double wide(Req q) {
         return q.cls.worth() / q.work >= density ? GATE_DENSE : 1;
@@ -448,7 +467,7 @@
     }
 
     private static boolean tried(Req q, Host h) {
-        return q.attempts.stream().anyMatch(a -> a.host == h && !a.look);
+        return q.attempts.stream().anyMatch(a -> a.host == h && a.reach == Reach.ORIGIN);
     }
 
     private static boolean refusedBy(Req q, Host h) {
@@ -549,7 +568,7 @@
 
     // ---- Sending
 
-    private void send(Req q, Host target, Host source) {
+    private void send(Req q, Host target, Host source, Reach reach) {
         Attempt a = new Attempt();
         a.host = target;
         a.source = source;
@@ -564,16 +583,20 @@
             target.unansweredSince = now;
         }
         target.gate.load += a.work;
-        a.look = source == target && isCache(target);
-        a.fillWork = a.look || !isCache(target) ? 0 : q.missed ? a.work : a.work * missShare;
+        a.reach = reach;
+        boolean cached = isCache(target) && !q.cls.goesThrough();
+        a.fillWork = reach == Reach.CACHE || !cached ? 0 : q.missed ? a.work : a.work * missShare;
+        a.originWork = reach != Reach.ORIGIN || !cached ? 0 : q.parentLacks ? a.work : a.fillWork * parentMissShare;
         fillGate.load += a.fillWork;
+        originGate.load += a.originWork;
         target.budget -= cost(q);
         if (source != target) {
             source.budget -= cost(q);
         }
-        boolean hot = q.hot && isCache(target) && !q.cls.goesThrough();
+        boolean hot = q.hot && cached;
         out.add(new RouterApi.Get(q.ask.id(), target.entry.host(), Math.max(1, q.ask.deadlineNs() - now),
-                source.entry.host(), hot ? LISTED_RANK : 0, oldest(q), set.joins() && !q.cls.goesThrough(), false));
+                source.entry.host(), hot ? LISTED_RANK : 0, oldest(q), set.joins() && !q.cls.goesThrough(),
+                reach == Reach.PARENT && isParent(source), false));
     }
 
     // ---- Purges
@@ -618,6 +641,7 @@
         a.host.attempts--;
         a.host.gate.load = Math.max(0, a.host.gate.load - a.work);
         fillGate.load = Math.max(0, fillGate.load - a.fillWork);
+        originGate.load = Math.max(0, originGate.load - a.originWork);
         learn(q, a, d);
         gates(q, a, d);
         if (d.closed()) {
@@ -656,18 +680,33 @@
         }
     }
 
-    /** A hit tells of the cache's own link, a fill of the way in. */
+    /** A hit tells of the cache's own link, a parent's copy of the way in, the rest of the origin behind. */
     private void gates(Req q, Attempt a, Done d) {
-        boolean ok = d.outcome() == Outcome.OK;
-        boolean hit = ok && d.note() == Note.HIT;
-        if (!isCache(a.host) || q.cls.goesThrough() || !ok && now < q.aimAt || !q.sized) {
+        if (!isCache(a.host) || q.cls.goesThrough() || !q.sized) {
             return;
         }
+        boolean ok = d.outcome() == Outcome.OK;
         boolean onTime = ok && d.tookNs() < q.aimAt - q.takenAt;
-        if (ok && !q.missed && !a.look) {
-            missShare += MEAN_WEIGHT * ((hit ? 0 : 1) - missShare);
+        double least = GATE_LEAST * meanWork();
+        if (ok && d.note() == Note.HIT) {
+            a.host.gate.answered(onTime, a.work, least);
+        } else if (ok && d.note() == Note.FILLED) {
+            fillGate.answered(onTime, a.work, least);
+        } else if (ok && d.note() == Note.FILLED_BY_ORIGIN || sourceFailed(d.note())) {
+            originGate.answered(onTime, a.work, least);
+        } else if (!ok && now >= q.aimAt) {
+            (a.reach == Reach.CACHE ? a.host.gate : fillGate).answered(false, a.work, least);
+        }
+        if (ok && a.reach == Reach.ORIGIN && !q.missed) {
+            missShare += MEAN_WEIGHT * ((d.note() == Note.HIT ? 0 : 1) - missShare);
+        }
+        if (ok && a.reach == Reach.ORIGIN && !q.parentLacks && d.note() != Note.HIT) {
+            parentMissShare += MEAN_WEIGHT * ((d.note() == Note.FILLED_BY_ORIGIN ? 1 : 0) - parentMissShare);
         }
-        (hit || a.look ? a.host.gate : fillGate).answered(onTime, a.work, GATE_LEAST * meanWork());
+    }
+
+    private static boolean sourceFailed(Note note) {
+        return note == Note.SOURCE_REFUSED || note == Note.SOURCE_BROKE || note == Note.ORIGIN_FAILED;
     }
 
     private void learnWork(Req q, Attempt a, Done d) {
@@ -684,14 +723,19 @@
             return;
         }
         Attempt last = q.attempts.get(q.attempts.size() - 1);
-        if (last.look && outcome == Outcome.MISS && !q.missed) {
+        if (last.reach != Reach.ORIGIN && outcome == Outcome.MISS) {
             q.missed = true;
+            q.parentLacks |= last.reach == Reach.PARENT;
             if (launch(q) || q.closed) {
                 return;
             }
         }
         if (retries >= 1 && now < q.aimAt && mayResend(q)) {
             retries--;
+            if (q.cls.goesThrough()) {
+                setAlarm(now + (RETRY_WAIT_NS << q.attempts.size()), q.ask.id(), Purpose.RETRY);
+                return;
+            }
             if (launch(q) || q.closed) {
                 return;
             }
@@ -714,8 +758,12 @@
         if (q == null || q.closed) {
             return;
         }
-        if (alarm.last()) {
+        if (alarm.purpose() == Purpose.LAST) {
             giveUp(q);
+        } else if (alarm.purpose() == Purpose.RETRY) {
+            if (q.open == 0 && !(mayResend(q) && launch(q)) && !q.closed) {
+                giveUp(q);
+            }
         } else if (q.open == 1 && !q.attempts.isEmpty()) {
             hedge(q);
         }
--- a/src/main/java/brooklock/WireCodec.java
+++ b/src/main/java/brooklock/WireCodec.java
@@ -51,6 +51,7 @@
 
     private static final int BIT_REPEAT = 2;
     private static final int HOW_JOIN = 1;
+    private static final int HOW_HELD_ONLY = 2;
     private static final int HOW_RENEW = 8;
     private static final Note[] NOTES = Note.values();
 
@@ -299,7 +300,8 @@
             if (action instanceof RouterApi.Get a) {
                 begin(LOOK_AND_FILL, 38, who).putLong(a.id()).putInt((int) a.host()).putLong(a.limitNs())
                         .putInt((int) a.source()).put((byte) a.keep()).putLong(a.oldestNs())
-                        .put((byte) ((a.join() ? HOW_JOIN : 0) | (a.renew() ? HOW_RENEW : 0)));
+                        .put((byte) ((a.join() ? HOW_JOIN : 0) | (a.heldOnly() ? HOW_HELD_ONLY : 0)
+                                | (a.renew() ? HOW_RENEW : 0)));
             } else if (action instanceof RouterApi.Refuse a) {
                 begin(PUSH_BACK, 20, who).putLong(a.id()).putLong(a.retryInNs());
             } else if (action instanceof RouterApi.Fail a) {
