--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -23,14 +23,17 @@
 import java.util.TreeMap;
 
 /**
- * Every decision of one router, in the order a request lives: counted and looked up on the hot list, given an edge
- * cache and a source, sent, watched, tried again or given up. The interface is RouterApi.java. Times are nanoseconds
- * of the event's clock; a request's "work" is the time its bytes need at the pace of one transfer.
+ * Every decision of one router, in the order a request lives: counted and looked up on the hot list, given an
+ * edge cache and a source, sent, watched, tried again or given up. The interface is RouterApi.java. Times are
+ * nanoseconds of the event's clock; a request's "work" is the time its bytes need at the pace of one
+ * transfer. /
  */
 public final class Rules {
     /** Interval of the hot list: about as long as edge caches keep what nobody asks for again. */
     private static final long INTERVAL_NS = 10_000_000_000L;
-    /** Objects counted in one interval; the oldest goes first. Bounds memory, far above what is asked in 10 s. */
+    /**
+     * Objects counted in one interval; the oldest goes first. Bounds memory, far above what is asked in 10 s.
+     */
     private static final int COUNTED_MAX = 50_000;
     /** Times asked in this interval above which an object is spread over two caches, and over three. */
     private static final int WIDE_AT = 20;
@@ -39,7 +42,9 @@
     private static final int LISTED_RANK = 2;
     /** A cache is passed over when its outstanding work is more than this multiple of its peers' mean. */
     private static final double LOAD_BOUND = 1.3;
-    /** ... and more than this many mean requests above it, so that small numbers don't move requests about. */
+    /**
+     * ... and more than this many mean requests above it, so that small numbers don't move requests about.
+     */
     private static final double LOAD_SLACK = 3;
     /** Share of the allowed multiple that all routers together plan to use on a cold host. */
     private static final double COLD_MARGIN = 0.6;
@@ -47,18 +52,24 @@
     private static final double COLD_MOST = 1.3;
     /** Span of the running rates, ns: longer than a burst, shorter than a start. */
     private static final double RATE_SPAN_NS = 8e9;
-    /** Weights of one failure and of one success in a host's failure share, and the share at which it ails. */
+    /**
+     * Weights of one failure and of one success in a host's failure share, and the share at which it ails.
+     */
     private static final double FAIL_WEIGHT = 0.25;
     private static final double OK_WEIGHT = 0.1;
     private static final double AILING = 0.4;
     /** An ailing host gets one trial request this often, ns. */
     private static final long TRIAL_NS = 1_000_000_000L;
-    /** A host is silent with this many attempts out and nothing heard for this multiple of the longest aim. */
+    /**
+     * A host is silent with this many attempts out and nothing heard for this multiple of the longest aim.
+     */
     private static final int SILENT_ATTEMPTS = 3;
     private static final double SILENT_AIMS = 2;
     /** Share of its aim after which an unanswered request may get a second copy. */
     private static final double HEDGE_AT = 0.6;
-    /** Second copies and further tries are each limited to these shares of requests, with this much saved up. */
+    /**
+     * Second copies and further tries are each limited to these shares of requests, with this much saved up.
+     */
     private static final double HEDGE_SHARE = 0.05;
     private static final double RETRY_SHARE = 0.2;
     private static final double SAVED_MAX = 20;
@@ -68,7 +79,10 @@
     private static final int LAST_TICKS = 2;
     /** Purges are heeded this much longer than the stated end, and cut copies this much younger, ns. */
     private static final long PURGE_MARGIN_NS = 1_000_000L;
-    /** Share of late answers above which a gate closes by a step, the step, and its growth per work answered in time. */
+    /**
+     * Share of late answers above which a gate closes by a step, the step, and its growth per work answered
+     * in time.
+     */
     private static final double LATE_SHARE = 0.15;
     private static final double LATE_WEIGHT = 0.1;
     private static final double GATE_CUT = 0.8;
@@ -100,6 +114,7 @@
     private double missShare = MISS_START;
     private double parentMissShare = MISS_START;
     private double density;
+    private double meanWork;
     private final Rate fills = new Rate();
     private final Rate served = new Rate();
     private long now;
@@ -128,8 +143,8 @@
     }
 
     /**
-     * How much work may be out at once on a way that several requests share. It guards against a jam, whatever its
-     * cause: once answers come late, more work only makes all of it late.
+     * How much work may be out at once on a way that several requests share. It guards against a jam,
+     * whatever its cause: once answers come late, more work only makes all of it late. /
      */
     private static final class Gate {
         double load;
@@ -172,6 +187,7 @@
         double originWork;
         Reach reach;
         boolean over;
+        boolean streams;
     }
 
     /** A request this router has taken. */
@@ -232,7 +248,7 @@
         } else if (event instanceof RouterApi.Lapsed e) {
             close(requests.get(e.id()));
         } else if (event instanceof RouterApi.Streaming e) {
-            close(requests.get(e.id()));
+            stream(e);
         } else if (event instanceof HostList e) {
             hear(e);
         } else if (event instanceof Purged e) {
@@ -247,7 +263,10 @@
 
     // ---- The hot list
 
-    /** At the interval's end what was counted becomes the list; a whole interval without events leaves it empty. */
+    /**
+     * At the interval's end what was counted becomes the list; a whole interval without events leaves it
+     * empty.
+     */
     private void turnInterval() {
         if (now < intervalEnd) {
             return;
@@ -297,7 +316,10 @@
         q.work = workOf(r, q.asked);
         q.aimAt = now + q.cls.aimNs() + (long) (q.cls.aimStretch() * q.work);
         requests.put(r.id(), q);
-        density += MEAN_WEIGHT * (q.cls.worth() / q.work - density);
+        if (!q.cls.goesThrough()) {
+            density += MEAN_WEIGHT * (q.cls.worth() / q.work - density);
+            meanWork += (meanWork == 0 ? 1 : MEAN_WEIGHT) * (q.work - meanWork);
+        }
         hedges = Math.min(SAVED_MAX, hedges + HEDGE_SHARE);
         retries = Math.min(SAVED_MAX, retries + RETRY_SHARE);
         setAlarm(r.deadlineNs() - LAST_TICKS * set.tickNs(), r.id(), Purpose.LAST);
@@ -352,8 +374,8 @@
     }
 
     /**
-     * How far a request may reach now. Where a way is jammed it goes only as far as the way is free, and further on a
-     * miss if there is room by then: hits are served however jammed the fills are.
+     * How far a request may reach now. Where a way is jammed it goes only as far as the way is free, and
+     * further on a miss if there is room by then: hits are served however jammed the fills are. /
      */
     private Reach reach(Req q, Host target) {
         double work = q.work / wide(q);
@@ -390,7 +412,7 @@
         }
         long copy = mix(q.ask.object() * 31 + q.ask.part());
         order.sort((a, b) -> Double.compare(score(copy, b), score(copy, a)));
-        double bound = LOAD_BOUND * load / weight + LOAD_SLACK * meanWork() / weight * order.size();
+        double bound = LOAD_BOUND * load / weight + LOAD_SLACK * meanWork / weight * order.size();
         Host best = null;
         int left = width(q.asked);
         for (Host h : order) {
@@ -420,14 +442,18 @@
         return h.gate.load / weight(h) + (tried(q, h) ? 1e15 : 0) + (ailing(h) ? 1e12 : 0);
     }
 
-    /** Parents of the own hub by hash, then other parents, ailing ones last; the origin only where none may be used. */
+    /**
+     * Parents of the own hub by hash, then other parents, ailing ones last; the origin only where none may be
+     * used.
+     */
     private Host pickSource(Req q) {
         Host best = null;
         double bestScore = 0;
         long copy = mix(q.ask.object() * 31 + q.ask.part());
         for (Host h : hosts.values()) {
             if (isParent(h) && ready(h) && affordable(h, q)) {
-                double s = score(copy, h) + (ownHub(h) ? 1e6 : 0) - (refusedBy(q, h) ? 4e6 : 0) - (fit(h) ? 0 : 2e6);
+                double s = score(copy, h) + (ownHub(h) ? 1e6 : 0);
+                s -= (refusedBy(q, h) ? 4e6 : 0) + (fit(h) ? 0 : 2e6);
                 if (best == null || s > bestScore) {
                     best = h;
                     bestScore = s;
@@ -529,9 +555,9 @@
     }
 
     /**
-     * Guards against pushing over a cold host. Its budget grows with its warmth times what this router's own traffic
-     * gives a warm peer, which all routers together cannot send above a peer's capacity, times a part of the allowed
-     * multiple.
+     * Guards against pushing over a cold host. Its budget grows with its warmth times what this router's own
+     * traffic gives a warm peer, which all routers together cannot send above a peer's capacity, times a part
+     * of the allowed multiple. /
      */
     private boolean affordable(Host h, Req q) {
         double warmth = warmth(h);
@@ -546,10 +572,6 @@
         return h.budget >= cost(q);
     }
 
-    private double meanWork() {
-        return java.util.Arrays.stream(classWork).average().orElse(0);
-    }
-
     private double cost(Req q) {
         return classWork[q.ask.cls()];
     }
@@ -586,7 +608,7 @@
         a.reach = reach;
         boolean cached = isCache(target) && !q.cls.goesThrough();
         a.fillWork = reach == Reach.CACHE || !cached ? 0 : q.missed ? a.work : a.work * missShare;
-        a.originWork = reach != Reach.ORIGIN || !cached ? 0 : q.parentLacks ? a.work : a.fillWork * parentMissShare;
+        a.originWork = reach != Reach.ORIGIN ? 0 : a.fillWork * (q.parentLacks ? 1 : parentMissShare);
         fillGate.load += a.fillWork;
         originGate.load += a.originWork;
         target.budget -= cost(q);
@@ -620,7 +642,8 @@
     private long oldest(Req q) {
         Long object = purgedObjects.get(q.ask.object());
         Long group = purgedGroups.get(q.ask.group());
-        long moment = Math.max(object == null ? Long.MIN_VALUE : object, group == null ? Long.MIN_VALUE : group);
+        long moment = Math.max(object == null ? Long.MIN_VALUE : object,
+                group == null ? Long.MIN_VALUE : group);
         if (moment == Long.MIN_VALUE || forgotten(moment)) {
             return 0;
         }
@@ -687,7 +710,7 @@
         }
         boolean ok = d.outcome() == Outcome.OK;
         boolean onTime = ok && d.tookNs() < q.aimAt - q.takenAt;
-        double least = GATE_LEAST * meanWork();
+        double least = GATE_LEAST * meanWork;
         if (ok && d.note() == Note.HIT) {
             a.host.gate.answered(onTime, a.work, least);
         } else if (ok && d.note() == Note.FILLED) {
@@ -795,6 +818,15 @@
         close(q);
     }
 
+    /** A started stream is the client's: it is the answer, and its attempt is not called off. */
+    private void stream(RouterApi.Streaming e) {
+        Req q = requests.get(e.id());
+        if (q != null && e.attempt() < q.attempts.size()) {
+            q.attempts.get(e.attempt()).streams = true;
+            close(q);
+        }
+    }
+
     private void close(Req q) {
         if (q == null) {
             return;
@@ -802,7 +834,7 @@
         q.closed = true;
         if (set.limits().cancel()) {
             for (int i = 0; i < q.attempts.size(); i++) {
-                if (!q.attempts.get(i).over) {
+                if (!q.attempts.get(i).over && !q.attempts.get(i).streams) {
                     out.add(new RouterApi.Cancel(q.ask.id(), i));
                 }
             }
--- /dev/null
+++ b/src/test/java/brooklock/Rig.java
@@ -0,0 +1,130 @@
+package brooklock;
+
+import brooklock.RouterApi.Action;
+import brooklock.RouterApi.ClassSettings;
+import brooklock.RouterApi.Effect;
+import brooklock.RouterApi.Get;
+import brooklock.RouterApi.Group;
+import brooklock.RouterApi.Guards;
+import brooklock.RouterApi.HostEntry;
+import brooklock.RouterApi.HostList;
+import brooklock.RouterApi.HostState;
+import brooklock.RouterApi.Limits;
+import brooklock.RouterApi.ListKind;
+import brooklock.RouterApi.Note;
+import brooklock.RouterApi.Outcome;
+import brooklock.RouterApi.Prices;
+import brooklock.RouterApi.Request;
+import brooklock.RouterApi.Settings;
+import brooklock.RouterApi.Siblings;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Drives one {@link Rules} by hand: a clock, a list of hosts, requests and outcomes. */
+final class Rig {
+    static final long MS = 1_000_000L;
+    static final int CACHE = 0;
+    static final int PARENT = 1;
+    static final int ORIGIN = 2;
+    static final int PAGE = 0;
+    static final int KEYED = 1;
+    static final int UNSAFE = 2;
+    static final long ORIGIN_HOST = 900;
+
+    final Rules rules;
+    final Map<Long, Integer> sends = new HashMap<>();
+    long now = 1_000_000 * MS;
+    private long lastId;
+
+    Rig() {
+        this(settings(true, Group.ALL));
+    }
+
+    Rig(Settings settings) {
+        rules = new Rules(settings, 7);
+        List<Action> out = new ArrayList<>();
+        rules.start(now, out);
+    }
+
+    static Settings settings(boolean duplicates, Group group) {
+        List<ClassSettings> classes = List.of(
+                new ClassSettings("page", 300 * MS, 2, 3000 * MS, 1, 0.2, Effect.SAFE, Group.ALL, 0, false, false,
+                        false, 8000 * MS, 0, 0.7),
+                new ClassSettings("buy", 500 * MS, 0, 3000 * MS, 3, 0, Effect.KEYED, group, 2000 * MS, false, true,
+                        false, 0, 0, 0.7),
+                new ClassSettings("pay", 500 * MS, 0, 3000 * MS, 3, 0, Effect.UNSAFE, Group.ALL, 0, true, true,
+                        false, 0, 0, 0.7));
+        return new Settings(classes, new Limits(true, duplicates, true, false, 6, 500 * MS, 400 * MS),
+                new Guards(8 * MS, 1000 * MS, 0.2, 15_000 * MS, 2, 2000 * MS, 0.06, 20_000 * MS, 2, 500 * MS,
+                        6000 * MS),
+                new Prices(0.05, 0.05, 0.05, 0.01, 0.04), 0, 4, 1, List.of(0, 0, 0), List.of(0, 2, 2), PARENT, ORIGIN,
+                false, false, 0, true, true, Siblings.NONE, 5000, 2 * MS, List.of());
+    }
+
+    /** Four caches 11..14 in zone 1, one in zone 2, parents 801 and 802 in the hub, the origin. */
+    Rig withFleet() {
+        List<HostEntry> all = new ArrayList<>();
+        for (long h = 11; h <= 14; h++) {
+            all.add(host(h, 1, CACHE, HostState.READY, 0));
+        }
+        all.add(host(21, 2, CACHE, HostState.READY, 0));
+        all.add(host(801, 0, PARENT, HostState.READY, 0));
+        all.add(host(802, 0, PARENT, HostState.READY, 0));
+        all.add(host(ORIGIN_HOST, 0, ORIGIN, HostState.READY, 0));
+        on(new HostList(ListKind.CACHED, all));
+        return this;
+    }
+
+    static HostEntry host(long id, int zone, int kind, HostState state, long startedAt) {
+        return new HostEntry(id, zone, kind, 0, state, 1, startedAt);
+    }
+
+    void change(HostEntry... entries) {
+        on(new HostList(ListKind.DELTA, List.of(entries)));
+    }
+
+    List<Action> on(RouterApi.Event e) {
+        List<Action> out = new ArrayList<>();
+        rules.on(now, e, out);
+        for (Action a : out) {
+            if (a instanceof Get g) {
+                sends.merge(g.id(), 1, Integer::sum);
+            }
+        }
+        return out;
+    }
+
+    Request request(int cls, long object) {
+        return new Request(++lastId, cls, object, 0, 3, 50, false, now + 3000 * MS);
+    }
+
+    /** Sends a request in and returns its attempt. */
+    Get ask(int cls, long object) {
+        return get(on(request(cls, object)));
+    }
+
+    static Get get(List<Action> actions) {
+        return actions.stream().filter(Get.class::isInstance).map(Get.class::cast).findFirst().orElse(null);
+    }
+
+    static <T> List<T> all(List<Action> actions, Class<T> type) {
+        return actions.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    /** Ends the newest attempt of a request. */
+    List<Action> done(Get g, Outcome outcome, Note note, long tookMs) {
+        return on(new RouterApi.Done(g.id(), sends.get(g.id()) - 1, g.host(), outcome, note, tookMs * MS, 0,
+                outcome == Outcome.OK, List.of()));
+    }
+
+    /** Asks and answers at once, in time. */
+    Get hit(int cls, long object) {
+        Get g = ask(cls, object);
+        if (g != null) {
+            done(g, Outcome.OK, Note.HIT, 10);
+        }
+        return g;
+    }
+}
--- /dev/null
+++ b/src/test/java/brooklock/RulesTest.java
@@ -0,0 +1,408 @@
+package brooklock;
+
+import static brooklock.Rig.KEYED;
+import static brooklock.Rig.MS;
+import static brooklock.Rig.PAGE;
+import static brooklock.Rig.UNSAFE;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brooklock.RouterApi.Action;
+import brooklock.RouterApi.Cancel;
+import brooklock.RouterApi.Fail;
+import brooklock.RouterApi.Get;
+import brooklock.RouterApi.Group;
+import brooklock.RouterApi.HostList;
+import brooklock.RouterApi.HostState;
+import brooklock.RouterApi.ListKind;
+import brooklock.RouterApi.Note;
+import brooklock.RouterApi.Outcome;
+import brooklock.RouterApi.Purged;
+import brooklock.RouterApi.Refuse;
+import brooklock.RouterApi.Request;
+import brooklock.RouterApi.SetTimer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class RulesTest {
+    // ---- The hot list
+
+    @Test
+    void unlistedPassesUnkeptAndTheSecondAskingIsKept() {
+        Rig rig = new Rig().withFleet();
+        Get first = rig.hit(PAGE, 42);
+        assertEquals(0, first.keep());
+        assertTrue(first.source() == 801 || first.source() == 802);
+        Get second = rig.hit(PAGE, 42);
+        assertEquals(2, second.keep());
+        assertEquals(first.host(), second.host());
+        assertEquals(first.source(), second.source());
+    }
+
+    @Test
+    void whatWasAskedInTheLastIntervalIsListedForThisOneOnly() {
+        Rig rig = new Rig().withFleet();
+        rig.hit(PAGE, 42);
+        rig.now += 10_000 * MS;
+        assertEquals(2, rig.hit(PAGE, 42).keep());
+        rig.now += 20_000 * MS;
+        assertEquals(0, rig.hit(PAGE, 42).keep(), "a whole interval passed without it");
+    }
+
+    @Test
+    void partsInOrderAreOneAsking() {
+        Rig rig = new Rig().withFleet();
+        for (int part = 0; part < 4; part++) {
+            Request r = rig.request(PAGE, 42);
+            Get g = Rig.get(rig.on(new Request(r.id(), PAGE, 42, part, 3, 50, false, r.deadlineNs())));
+            assertEquals(0, g.keep(), "part " + part);
+            rig.done(g, Outcome.OK, Note.HIT, 10);
+        }
+        assertEquals(2, rig.hit(PAGE, 42).keep());
+    }
+
+    @Test
+    void aRefusedRequestsRetryDoesNotListItsObject() {
+        Rig rig = new Rig();
+        assertEquals(1, Rig.all(rig.on(rig.request(PAGE, 42)), Refuse.class).size(), "no host is known");
+        rig.withFleet();
+        assertEquals(0, rig.hit(PAGE, 42).keep());
+    }
+
+    @Test
+    void losingOneCacheMovesOnlyItsObjects() {
+        Rig rig = new Rig().withFleet();
+        Map<Long, Long> before = new HashMap<>();
+        for (long o = 1; o <= 300; o++) {
+            before.put(o, rig.hit(PAGE, o).host());
+        }
+        assertEquals(4, new HashSet<>(before.values()).size());
+        rig.change(Rig.host(12, 1, Rig.CACHE, HostState.GONE, 0));
+        for (long o = 1; o <= 300; o++) {
+            long host = rig.hit(PAGE, o).host();
+            assertTrue(before.get(o) == 12 ? host != 12 : host == before.get(o), "object " + o);
+        }
+    }
+
+    @Test
+    void aVeryHotObjectReachesMoreCaches() {
+        Rig rig = new Rig().withFleet();
+        Set<Long> hosts = new HashSet<>();
+        for (int i = 0; i < 100; i++) {
+            hosts.add(rig.ask(PAGE, 42).host());
+        }
+        assertTrue(hosts.size() >= 2);
+    }
+
+    // ---- Rule 1: one final answer, in time
+
+    @Test
+    void theDeadlineTimerAnswersAndNothingFollows() {
+        Rig rig = new Rig().withFleet();
+        Request r = rig.request(PAGE, 42);
+        List<Action> out = rig.on(r);
+        SetTimer last = Rig.all(out, SetTimer.class).get(0);
+        assertTrue(last.atNs() < r.deadlineNs() && last.atNs() > r.deadlineNs() - 20 * MS);
+        rig.now = last.atNs();
+        out = rig.on(new RouterApi.TimerFired(last.token()));
+        assertEquals(1, Rig.all(out, Refuse.class).size());
+        assertEquals(1, Rig.all(out, Cancel.class).size());
+        out = rig.done(Rig.get(rig.on(rig.request(PAGE, 43))), Outcome.ERROR, Note.NONE, 1);
+        assertEquals(0, Rig.all(rig.on(new RouterApi.Done(r.id(), 0, 11, Outcome.CANCELLED, Note.NONE, 1, 0, true,
+                List.of())), Get.class).size());
+    }
+
+    @Test
+    void aLapsedRequestIsForgotten() {
+        Rig rig = new Rig().withFleet();
+        Get g = rig.ask(PAGE, 42);
+        List<Action> out = rig.on(new RouterApi.Lapsed(g.id()));
+        assertEquals(List.of(new Cancel(g.id(), 0)), out);
+        assertEquals(List.of(), rig.done(g, Outcome.ERROR, Note.NONE, 5));
+    }
+
+    @Test
+    void aStartedStreamIsNotCalledOff() {
+        Rig rig = new Rig().withFleet();
+        Get g = rig.ask(UNSAFE, 42);
+        assertEquals(List.of(), rig.on(new RouterApi.Streaming(g.id(), 0, g.host())));
+    }
+
+    @Test
+    void withNoUsableHostTheAnswerComesAtOnce() {
+        Rig rig = new Rig();
+        Refuse refuse = Rig.all(rig.on(rig.request(PAGE, 1)), Refuse.class).get(0);
+        assertTrue(refuse.retryInNs() > 0 && refuse.retryInNs() <= 500 * MS);
+        assertEquals(1, Rig.all(rig.on(rig.request(UNSAFE, 1)), Refuse.class).size(), "it never ran");
+    }
+
+    // ---- Rule 2: effects
+
+    @Test
+    void aSafeRequestGoesToTheNextCacheAfterAnError() {
+        Rig rig = new Rig().withFleet();
+        Get first = rig.ask(PAGE, 42);
+        Get second = Rig.get(rig.done(first, Outcome.ERROR, Note.NONE, 5));
+        assertNotNull(second);
+        assertNotEquals(first.host(), second.host());
+    }
+
+    @Test
+    void writesGoStraightToTheOrigin() {
+        assertEquals(Rig.ORIGIN_HOST, new Rig().withFleet().ask(KEYED, 1).host());
+    }
+
+    @Test
+    void anUnsafeRequestThatMayHaveRunFails() {
+        Rig rig = new Rig().withFleet();
+        Get g = rig.ask(UNSAFE, 42);
+        List<Action> out = rig.done(g, Outcome.RESET, Note.NONE, 5);
+        assertNull(Rig.get(out));
+        assertEquals(List.of(new Fail(g.id())), out);
+    }
+
+    @Test
+    void aKeyedRequestIsNotRepeatedPastItsWindow() {
+        Rig rig = new Rig().withFleet();
+        Get g = rig.ask(KEYED, 42);
+        List<Action> out = rig.done(g, Outcome.ERROR, Note.NONE, 5);
+        SetTimer wait = Rig.all(out, SetTimer.class).get(0);
+        rig.now += 2100 * MS;
+        out = rig.on(new RouterApi.TimerFired(wait.token()));
+        assertNull(Rig.get(out));
+        assertEquals(1, Rig.all(out, Refuse.class).size(), "the group is all: a refusal is allowed");
+    }
+
+    @Test
+    void aKeyedRequestOfASmallGroupIsNotRefusedOnceItMayHaveRun() {
+        Rig rig = new Rig(Rig.settings(true, Group.CELL)).withFleet();
+        Get g = rig.ask(KEYED, 42);
+        List<Action> out = rig.done(g, Outcome.ERROR, Note.NONE, 5);
+        assertEquals(List.of(new Fail(g.id())), out);
+    }
+
+    @Test
+    void noSecondCopyWhereItIsNotAllowed() {
+        Rig rig = new Rig(Rig.settings(false, Group.ALL)).withFleet();
+        assertEquals(1, Rig.all(rig.on(rig.request(PAGE, 42)), SetTimer.class).size(), "the deadline's alone");
+    }
+
+    @Test
+    void aLateSafeRequestGetsASecondCopyElsewhere() {
+        Rig rig = new Rig().withFleet();
+        List<Action> out = rig.on(rig.request(PAGE, 42));
+        Get first = Rig.get(out);
+        SetTimer hedge = Rig.all(out, SetTimer.class).get(1);
+        rig.now = hedge.atNs();
+        Get second = Rig.get(rig.on(new RouterApi.TimerFired(hedge.token())));
+        assertNotNull(second);
+        assertNotEquals(first.host(), second.host());
+    }
+
+    // ---- Rule 3: drains
+
+    @Test
+    void aDrainingHostIsLeftAtOnceAsTargetAndAsSource() {
+        Rig rig = new Rig().withFleet();
+        rig.change(Rig.host(12, 1, Rig.CACHE, HostState.DRAINING, 0),
+                Rig.host(801, 0, Rig.PARENT, HostState.DRAINING, 0));
+        for (long o = 1; o <= 200; o++) {
+            Get g = rig.hit(PAGE, o);
+            assertNotEquals(12, g.host());
+            assertEquals(802, g.source());
+        }
+    }
+
+    @Test
+    void aHostAbsentFromAFullListIsGone() {
+        Rig rig = new Rig().withFleet();
+        rig.on(new HostList(ListKind.FULL, List.of(Rig.host(11, 1, Rig.CACHE, HostState.READY, 0),
+                Rig.host(802, 0, Rig.PARENT, HostState.READY, 0))));
+        for (long o = 1; o <= 50; o++) {
+            Get g = rig.hit(PAGE, o);
+            assertEquals(11, g.host());
+            assertEquals(802, g.source());
+        }
+    }
+
+    // ---- Rule 4: cold hosts
+
+    @Test
+    void aColdCacheGetsASmallShareThatGrows() {
+        Rig rig = new Rig().withFleet();
+        warmUp(rig);
+        rig.change(Rig.host(12, 1, Rig.CACHE, HostState.READY, rig.now));
+        long early = shareOf(rig, 12, 2000);
+        rig.now += 10_000 * MS;
+        long late = shareOf(rig, 12, 2000);
+        assertTrue(early < 200, "of 500 due: " + early);
+        assertTrue(late > early, early + " then " + late);
+    }
+
+    @Test
+    void aColdParentIsPassedOver() {
+        Rig rig = new Rig().withFleet();
+        warmUp(rig);
+        rig.change(Rig.host(801, 0, Rig.PARENT, HostState.READY, rig.now));
+        long named = 0;
+        for (int i = 0; i < 1000; i++) {
+            rig.now += 5 * MS;
+            Get g = rig.ask(PAGE, i);
+            named += g.source() == 801 ? 1 : 0;
+            rig.done(g, Outcome.OK, Note.FILLED, 20);
+        }
+        assertTrue(named < 250, "of 500 due: " + named);
+    }
+
+    private static void warmUp(Rig rig) {
+        for (int i = 0; i < 4000; i++) {
+            rig.now += 5 * MS;
+            rig.done(rig.ask(PAGE, i), Outcome.OK, Note.FILLED, 20);
+        }
+    }
+
+    private static long shareOf(Rig rig, long host, int requests) {
+        long n = 0;
+        for (int i = 0; i < requests; i++) {
+            rig.now += MS;
+            n += rig.hit(PAGE, i).host() == host ? 1 : 0;
+        }
+        return n;
+    }
+
+    // ---- Rule 5: purges
+
+    @Test
+    void nothingOlderThanAPurgeWillDo() {
+        Rig rig = new Rig().withFleet();
+        rig.on(new Purged(42, 3, 200 * MS));
+        rig.now += 300 * MS;
+        long age = rig.ask(PAGE, 42).oldestNs();
+        assertTrue(age > 0 && age < 500 * MS, "age " + age);
+        assertEquals(0, rig.ask(PAGE, 43).oldestNs());
+        rig.on(new Purged(0, 3, 0));
+        assertEquals(1, rig.ask(PAGE, 43).oldestNs(), "a group's purge holds for all its objects");
+        rig.now += 7000 * MS;
+        assertEquals(0, rig.ask(PAGE, 43).oldestNs(), "by now no older copy is left");
+    }
+
+    // ---- Failing well
+
+    @Test
+    void aCacheThatFailsFastIsLeftAfterAFewErrors() {
+        Rig rig = new Rig().withFleet();
+        int errors = 0;
+        for (int i = 0; i < 200; i++) {
+            rig.now += 10 * MS;
+            Get g = rig.ask(PAGE, i);
+            if (g.host() == 12) {
+                errors++;
+                g = Rig.get(rig.done(g, Outcome.ERROR, Note.NONE, 1));
+            }
+            if (g != null) {
+                rig.done(g, Outcome.OK, Note.HIT, 10);
+            }
+        }
+        assertTrue(errors >= 2 && errors < 8, "of some 50 due: " + errors);
+    }
+
+    @Test
+    void aFailedSourceIsNotTheCachesFault() {
+        Rig rig = new Rig().withFleet();
+        Get g = rig.ask(PAGE, 42);
+        Get next = Rig.get(rig.done(g, Outcome.FULL, Note.SOURCE_REFUSED, 5));
+        assertNotNull(next);
+        assertNotEquals(g.source(), next.source());
+    }
+
+    @Test
+    void ailingParentsAreStillAskedBeforeTheOrigin() {
+        Rig rig = new Rig().withFleet();
+        for (int i = 0; i < 40; i++) {
+            rig.now += 5 * MS;
+            Get g = rig.ask(PAGE, i);
+            if (g != null) {
+                assertNotEquals(Rig.ORIGIN_HOST, g.source());
+                rig.done(g, Outcome.FULL, Note.SOURCE_REFUSED, 5);
+            }
+        }
+    }
+
+    @Test
+    void aJammedWayInIsLookedThroughFirstAndHitsAreStillServed() {
+        Rig rig = new Rig().withFleet();
+        jam(rig);
+        boolean looked = false;
+        for (int i = 0; i < 30; i++) {
+            Get g = rig.ask(PAGE, 5000 + i);
+            looked |= g != null && g.source() == g.host();
+        }
+        assertTrue(looked);
+    }
+
+    private static void jam(Rig rig) {
+        for (int round = 0; round < 30; round++) {
+            List<Get> out = new ArrayList<>();
+            for (int i = 0; i < 10; i++) {
+                Get g = rig.ask(PAGE, round * 100 + i);
+                if (g != null) {
+                    out.add(g);
+                }
+            }
+            rig.now += 1500 * MS;
+            for (Get g : out) {
+                rig.done(g, Outcome.OK, Note.FILLED, 1500);
+            }
+        }
+    }
+
+    // ---- All of it
+
+    @Test
+    void sameEventsGiveTheSameActionsWithOthersBeside() {
+        Rig a = new Rig().withFleet();
+        Rig beside = new Rig().withFleet();
+        Rig b = new Rig().withFleet();
+        Random random = new Random(5);
+        for (int i = 0; i < 500; i++) {
+            a.now += MS;
+            b.now += MS;
+            long object = random.nextInt(60);
+            beside.ask(PAGE, object + 1);
+            List<Action> x = a.on(a.request(PAGE, object));
+            List<Action> y = b.on(b.request(PAGE, object));
+            assertEquals(x, y);
+            if (Rig.get(x) != null && random.nextBoolean()) {
+                assertEquals(a.done(Rig.get(x), Outcome.ERROR, Note.NONE, 3),
+                        b.done(Rig.get(y), Outcome.ERROR, Note.NONE, 3));
+            }
+        }
+    }
+
+    @Test
+    void aRandomDayKeepsTheRulesThatCanBeSeenHere() {
+        for (int seed = 1; seed <= 20; seed++) {
+            new RandomDay(seed).play();
+        }
+    }
+
+    @Test
+    void theModuleFitsTheReview() throws Exception {
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/brooklock/Rules.java"));
+        assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 850);
+        assertEquals(0, lines.stream().filter(l -> l.length() > 110).count());
+        assertFalse(lines.stream().limit(40).noneMatch(l -> l.contains("RouterApi.java")));
+    }
+}
