Hosts whose connections break several times running are taken for started anew

Cause: caches died, were back within a second and fell over 0.6 s after their start under the traffic of routers whose list still said ready. Told from a jam by "no connection" and reset outcomes, and by the log of fallen hosts. Change: three broken or refused connections running start the cold budget. Should also guard a list that lags or breaks. Harm: a warm host that is full of connections is held back for the length of a start.

--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -172,6 +172,8 @@
         int attempts;
         double failShare;
         long trialAt;
+        long startedAt;
+        int lost;
         long unansweredSince;
         double budget;
         long budgetAt;
@@ -543,6 +545,20 @@
         h.failShare += well ? -OK_WEIGHT * h.failShare : FAIL_WEIGHT * (1 - h.failShare);
     }
 
+    /**
+     * Guards against pushing over a host that died and is back before the list tells: one that breaks off or turns
+     * away several connections running is taken for started anew from then on. Should also help where a list is
+     * lost. Harm: connections refused for want of room hold a warm host back for the length of a start.
+     */
+    private void lost(Host h, Outcome outcome) {
+        boolean broke = outcome == Outcome.RESET || outcome == Outcome.CONNECT_FAILED;
+        h.lost = broke ? h.lost + 1 : 0;
+        if (h.lost >= SILENT_ATTEMPTS) {
+            h.startedAt = now;
+            h.budget = 0;
+        }
+    }
+
     // ---- Cold hosts
 
     /** Share of its capacity that a host surely has by now. */
@@ -550,8 +566,8 @@
         boolean parent = isParent(h);
         double from = parent ? set.guards().parentColdFrom() : set.guards().coldFrom();
         long span = parent ? set.guards().parentColdNs() : set.guards().coldNs();
-        long age = now - h.entry.startedAtNs();
-        return h.entry.startedAtNs() == 0 || age >= span ? 1 : from + (1 - from) * Math.max(0, age) / span;
+        long age = now - h.startedAt;
+        return h.startedAt == 0 || age >= span ? 1 : from + (1 - from) * Math.max(0, age) / span;
     }
 
     /**
@@ -567,7 +583,7 @@
         double multiple = isParent(h) ? set.guards().parentFallMultiple() : set.guards().fallMultiple();
         double rate = peerRate(h) * warmth * Math.min(COLD_MOST, multiple * COLD_MARGIN);
         double most = Math.max(rate * set.guards().overloadForNs() / 2, cost(q));
-        h.budget = Math.min(most, h.budget + rate * (now - Math.max(h.budgetAt, h.entry.startedAtNs())));
+        h.budget = Math.min(most, h.budget + rate * (now - Math.max(h.budgetAt, h.startedAt)));
         h.budgetAt = now;
         return h.budget >= cost(q);
     }
@@ -665,6 +681,7 @@
         a.host.gate.load = Math.max(0, a.host.gate.load - a.work);
         fillGate.load = Math.max(0, fillGate.load - a.fillWork);
         originGate.load = Math.max(0, originGate.load - a.originWork);
+        lost(a.host, d.outcome());
         learn(q, a, d);
         gates(q, a, d);
         if (d.closed()) {
@@ -866,6 +883,7 @@
                 h.budgetAt = now;
                 h.unansweredSince = now;
             }
+            h.startedAt = Math.max(h.startedAt, e.startedAtNs());
             h.entry = e;
         }
         hosts.values().removeIf(h -> h.entry.state() == HostState.GONE && h.attempts == 0);
--- a/src/test/java/brooklock/RulesTest.java
+++ b/src/test/java/brooklock/RulesTest.java
@@ -251,6 +251,27 @@
         assertTrue(late > early, early + " then " + late);
     }
 
+    @Test
+    void aCacheWhoseConnectionsBreakIsColdWhenItAnswersAgain() {
+        Rig rig = new Rig().withFleet();
+        warmUp(rig);
+        int broken = 0;
+        for (int i = 0; broken < 3; i++) {
+            Get g = rig.ask(PAGE, i);
+            boolean breaks = g.host() == 12;
+            broken += breaks ? 1 : 0;
+            Get next = Rig.get(rig.done(g, breaks ? Outcome.RESET : Outcome.OK, Note.HIT, 1));
+            if (next != null) {
+                rig.done(next, Outcome.OK, Note.HIT, 1);
+            }
+        }
+        rig.now += 1500 * MS;
+        long early = shareOf(rig, 12, 2000);
+        assertTrue(early < 200, "of 500 due: " + early);
+        rig.now += 16_000 * MS;
+        assertTrue(shareOf(rig, 12, 2000) > 300);
+    }
+
     @Test
     void aColdParentIsPassedOver() {
         Rig rig = new Rig().withFleet();
