--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -58,7 +58,7 @@
     private static final double FAIL_WEIGHT = 0.25;
     private static final double OK_WEIGHT = 0.1;
     private static final double AILING = 0.4;
-    /** An ailing host gets one trial request this often, ns. */
+    /** An ailing host gets one trial request this often, ns, and the next as soon as one went well. */
     private static final long TRIAL_NS = 1_000_000_000L;
     /**
      * A host is silent with this many attempts out and nothing heard for this multiple of the longest aim.
@@ -363,7 +363,7 @@
                 source = pickOrigin();
             }
         }
-        boolean asIs = target == null || !isCache(target) || q.cls.goesThrough();
+        boolean asIs = target == null || q.cls.goesThrough();
         Reach reach = asIs ? Reach.ORIGIN : reach(q, target);
         if (target != null && reach != Reach.NONE) {
             send(q, target, source == null || reach == Reach.CACHE ? target : source, reach);
@@ -381,6 +381,9 @@
      */
     private Reach reach(Req q, Host target) {
         double work = q.work / wide(q);
+        if (!isCache(target)) {
+            return fillGate.admits(work) ? Reach.ORIGIN : Reach.NONE;
+        }
         boolean fill = fillGate.admits(work * (q.missed ? 1 : missShare));
         boolean origin = originGate.admits(work * (q.parentLacks ? 1 : q.missed ? parentMissShare
                 : missShare * parentMissShare));
@@ -543,12 +546,14 @@
     private void heard(Host h, boolean well) {
         h.unansweredSince = now;
         h.failShare += well ? -OK_WEIGHT * h.failShare : FAIL_WEIGHT * (1 - h.failShare);
+        h.trialAt = well ? now : now + TRIAL_NS;
     }
 
     /**
-     * Guards against pushing over a host that died and is back before the list tells: one that breaks off or turns
-     * away several connections running is taken for started anew from then on. Should also help where a list is
-     * lost. Harm: connections refused for want of room hold a warm host back for the length of a start.
+     * Guards against pushing over a host that died and is back before the list tells: one that breaks off or
+     * turns away several connections running is taken for started anew from then on. Should also help where a
+     * list is lost. Harm: connections refused for want of room hold a warm host back for the length of a
+     * start. /
      */
     private void lost(Host h, Outcome outcome) {
         boolean broke = outcome == Outcome.RESET || outcome == Outcome.CONNECT_FAILED;
@@ -623,7 +628,8 @@
         target.gate.load += a.work;
         a.reach = reach;
         boolean cached = isCache(target) && !q.cls.goesThrough();
-        a.fillWork = reach == Reach.CACHE || !cached ? 0 : q.missed ? a.work : a.work * missShare;
+        a.fillWork = reach == Reach.CACHE || q.cls.goesThrough() ? 0
+                : q.missed || !cached ? a.work : a.work * missShare;
         a.originWork = reach != Reach.ORIGIN ? 0 : a.fillWork * (q.parentLacks ? 1 : parentMissShare);
         fillGate.load += a.fillWork;
         originGate.load += a.originWork;
@@ -722,13 +728,15 @@
 
     /** A hit tells of the cache's own link, a parent's copy of the way in, the rest of the origin behind. */
     private void gates(Req q, Attempt a, Done d) {
-        if (!isCache(a.host) || q.cls.goesThrough() || !q.sized) {
+        if (q.cls.goesThrough() || !q.sized) {
             return;
         }
         boolean ok = d.outcome() == Outcome.OK;
         boolean onTime = ok && d.tookNs() < q.aimAt - q.takenAt;
         double least = GATE_LEAST * meanWork;
-        if (ok && d.note() == Note.HIT) {
+        if (ok && !isCache(a.host)) {
+            fillGate.answered(onTime, a.work, least);
+        } else if (ok && d.note() == Note.HIT) {
             a.host.gate.answered(onTime, a.work, least);
         } else if (ok && d.note() == Note.FILLED) {
             fillGate.answered(onTime, a.work, least);
@@ -737,10 +745,10 @@
         } else if (!ok && now >= q.aimAt) {
             (a.reach == Reach.CACHE ? a.host.gate : fillGate).answered(false, a.work, least);
         }
-        if (ok && a.reach == Reach.ORIGIN && !q.missed) {
+        if (ok && a.reach == Reach.ORIGIN && isCache(a.host) && !q.missed) {
             missShare += MEAN_WEIGHT * ((d.note() == Note.HIT ? 0 : 1) - missShare);
         }
-        if (ok && a.reach == Reach.ORIGIN && !q.parentLacks && d.note() != Note.HIT) {
+        if (ok && a.reach == Reach.ORIGIN && isCache(a.host) && !q.parentLacks && d.note() != Note.HIT) {
             parentMissShare += MEAN_WEIGHT * ((d.note() == Note.FILLED_BY_ORIGIN ? 1 : 0) - parentMissShare);
         }
     }
--- a/src/test/java/brooklock/RulesTest.java
+++ b/src/test/java/brooklock/RulesTest.java
@@ -256,7 +256,8 @@
         Rig rig = new Rig().withFleet();
         warmUp(rig);
         int broken = 0;
-        for (int i = 0; broken < 3; i++) {
+        for (int i = 0; broken < 4 && i < 4000; i++) {
+            rig.now += 5 * MS;
             Get g = rig.ask(PAGE, i);
             boolean breaks = g.host() == 12;
             broken += breaks ? 1 : 0;
