--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -85,8 +85,8 @@
      */
     private static final double LATE_SHARE = 0.15;
     private static final double LATE_WEIGHT = 0.1;
-    private static final double GATE_CUT = 0.8;
-    private static final double GATE_GROWTH = 0.2;
+    private static final double GATE_CUT = 0.9;
+    private static final double GATE_GROWTH = 0.1;
     /** A gate is left open for this many mean requests, and for dense worth by this much wider. */
     private static final double GATE_LEAST = 2;
     private static final double GATE_DENSE = 1.25;
