--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -79,14 +79,14 @@
     private static final int LAST_TICKS = 2;
     /** Purges are heeded this much longer than the stated end, and cut copies this much younger, ns. */
     private static final long PURGE_MARGIN_NS = 1_000_000L;
-    /**
-     * Share of late answers above which a gate closes by a step, the step, and its growth per work answered
-     * in time.
-     */
+    /** Share of late answers at which a jammed way is held: its gate grows by this part of the work answered in */
+    /** time and shrinks by the rest of what was late. Origins are late by their own slowness too: more is borne. */
+    private static final double CACHE_LATE = 0.1;
+    private static final double FILL_LATE = 0.2;
+    private static final double ORIGIN_LATE = 0.3;
+    /** Running share of late answers that starts a gate's limit, and the weight of one answer in it. */
     private static final double LATE_SHARE = 0.15;
     private static final double LATE_WEIGHT = 0.1;
-    private static final double GATE_CUT = 0.9;
-    private static final double GATE_GROWTH = 0.1;
     /** A gate is left open for this many mean requests, and for dense worth by this much wider. */
     private static final double GATE_LEAST = 2;
     private static final double GATE_DENSE = 1.25;
@@ -109,8 +109,8 @@
     private long lastToken;
     private double hedges = SAVED_MAX;
     private double retries = SAVED_MAX;
-    private final Gate fillGate = new Gate();
-    private final Gate originGate = new Gate();
+    private final Gate fillGate = new Gate(FILL_LATE);
+    private final Gate originGate = new Gate(ORIGIN_LATE);
     private double missShare = MISS_START;
     private double parentMissShare = MISS_START;
     private double density;
@@ -147,10 +147,15 @@
      * whatever its cause: once answers come late, more work only makes all of it late. /
      */
     private static final class Gate {
+        final double borne;
         double load;
         double limit = Double.POSITIVE_INFINITY;
         double late;
 
+        Gate(double borne) {
+            this.borne = borne;
+        }
+
         boolean admits(double work) {
             return load <= 0 || load + work <= limit;
         }
@@ -160,7 +165,7 @@
             if (limit == Double.POSITIVE_INFINITY) {
                 limit = late > LATE_SHARE ? Math.max(least, load + work) : limit;
             } else if (load + work > limit / 2) {
-                limit = Math.max(least, limit + (onTime ? GATE_GROWTH : -GATE_CUT) * work);
+                limit = Math.max(least, limit + (onTime ? borne : borne - 1) * work);
             }
         }
     }
@@ -168,7 +173,7 @@
     /** What this router knows of a host. */
     private static final class Host {
         HostEntry entry;
-        final Gate gate = new Gate();
+        final Gate gate = new Gate(CACHE_LATE);
         int attempts;
         double failShare;
         long trialAt;
