--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -40,6 +40,8 @@
     private static final int WIDER_AT = 60;
     /** Rank of a listed copy: the middle one, so that it pushes out leftovers and never what ranks higher. */
     private static final int LISTED_RANK = 2;
+    /** Rank of an unlisted copy while there is no list yet: the lowest. */
+    private static final int UNKNOWN_RANK = 1;
     /** A cache is passed over when its outstanding work is more than this multiple of its peers' mean. */
     private static final double LOAD_BOUND = 1.3;
     /**
@@ -106,6 +108,7 @@
     private Map<Long, Asked> listed = new HashMap<>();
     private LinkedHashMap<Long, Asked> counted = new LinkedHashMap<>();
     private long intervalEnd;
+    private long firstListAt;
     private long lastToken;
     private double hedges = SAVED_MAX;
     private double retries = SAVED_MAX;
@@ -237,6 +240,7 @@
     public void start(long clock, List<Action> actions) {
         begin(clock, actions);
         intervalEnd = now + INTERVAL_NS;
+        firstListAt = intervalEnd;
         if (set.listIsAsked()) {
             out.add(new RouterApi.Watch());
         }
@@ -310,6 +314,17 @@
         return a.times > WIDER_AT ? 3 : a.times > WIDE_AT ? 2 : 1;
     }
 
+    /**
+     * Rank at which a copy is kept: the listed ones at the middle, others not at all. In the first interval after a
+     * start there is no list yet, so unlisted copies are kept at the lowest rank, where they push out no listed one.
+     */
+    private int rankOf(Req q, boolean cached) {
+        if (!cached) {
+            return 0;
+        }
+        return q.hot ? LISTED_RANK : now < firstListAt ? UNKNOWN_RANK : 0;
+    }
+
     // ---- A request comes
 
     private void take(Request r) {
@@ -642,9 +657,8 @@
         if (source != target) {
             source.budget -= cost(q);
         }
-        boolean hot = q.hot && cached;
         out.add(new RouterApi.Get(q.ask.id(), target.entry.host(), Math.max(1, q.ask.deadlineNs() - now),
-                source.entry.host(), hot ? LISTED_RANK : 0, oldest(q), set.joins() && !q.cls.goesThrough(),
+                source.entry.host(), rankOf(q, cached), oldest(q), set.joins() && !q.cls.goesThrough(),
                 reach == Reach.PARENT && isParent(source), false));
     }
 
