No second copies of what is merely late

Cause: a request late in a jam got a copy at another cache, which filled it once more over the same link. Second copies stay for hosts that ail or are silent.

--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -67,12 +67,9 @@
      */
     private static final int SILENT_ATTEMPTS = 3;
     private static final double SILENT_AIMS = 2;
-    /** Share of its aim after which an unanswered request may get a second copy. */
+    /** Share of its aim after which an unanswered request is looked at again. */
     private static final double HEDGE_AT = 0.6;
-    /**
-     * Second copies and further tries are each limited to these shares of requests, with this much saved up.
-     */
-    private static final double HEDGE_SHARE = 0.05;
+    /** Further tries are limited to this share of requests, with this much saved up. */
     private static final double RETRY_SHARE = 0.2;
     private static final double SAVED_MAX = 20;
     /** First wait before what only the origin can answer is tried there again, doubled each time, ns. */
@@ -110,7 +107,6 @@
     private long intervalEnd;
     private long firstListAt;
     private long lastToken;
-    private double hedges = SAVED_MAX;
     private double retries = SAVED_MAX;
     private final Gate fillGate = new Gate(FILL_LATE);
     private final Gate originGate = new Gate(ORIGIN_LATE);
@@ -342,7 +338,6 @@
             density += MEAN_WEIGHT * (q.cls.worth() / q.work - density);
             meanWork += (meanWork == 0 ? 1 : MEAN_WEIGHT) * (q.work - meanWork);
         }
-        hedges = Math.min(SAVED_MAX, hedges + HEDGE_SHARE);
         retries = Math.min(SAVED_MAX, retries + RETRY_SHARE);
         setAlarm(r.deadlineNs() - LAST_TICKS * set.tickNs(), r.id(), Purpose.LAST);
         launch(q);
@@ -836,16 +831,14 @@
         }
     }
 
-    /** A second copy of a safe request whose host is silent, or, within a small share, merely late. */
+    /**
+     * A second copy of a safe request whose host ails or has gone silent by now. One that is merely late gets none:
+     * a second copy takes a jammed link twice.
+     */
     private void hedge(Req q) {
-        Attempt first = q.attempts.get(q.attempts.size() - 1);
-        if (!ailing(first.host)) {
-            if (hedges < 1) {
-                return;
-            }
-            hedges--;
+        if (ailing(q.attempts.get(q.attempts.size() - 1).host)) {
+            launch(q);
         }
-        launch(q);
     }
 
     // ---- The end of a request
