Tighter load bound: 1.1 of the mean and two mean requests

Cause: hashing alone leaves one cache's link busier than its peers', and what is late there was not moved.

--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -43,11 +43,11 @@
     /** Rank of an unlisted copy while there is no list yet: the lowest. */
     private static final int UNKNOWN_RANK = 1;
     /** A cache is passed over when its outstanding work is more than this multiple of its peers' mean. */
-    private static final double LOAD_BOUND = 1.3;
+    private static final double LOAD_BOUND = 1.1;
     /**
      * ... and more than this many mean requests above it, so that small numbers don't move requests about.
      */
-    private static final double LOAD_SLACK = 3;
+    private static final double LOAD_SLACK = 2;
     /** Share of the allowed multiple that all routers together plan to use on a cold host. */
     private static final double COLD_MARGIN = 0.6;
     /** A cold host is never planned above this multiple of what it can do: it would only answer late. */
@@ -78,8 +78,14 @@
     private static final int LAST_TICKS = 2;
     /** Purges are heeded this much longer than the stated end, and cut copies this much younger, ns. */
     private static final long PURGE_MARGIN_NS = 1_000_000L;
-    /** Share of late answers at which a jammed way is held: its gate grows by this part of the work answered in */
-    /** time and shrinks by the rest of what was late. Origins are late by their own slowness too: more is borne. */
+    /**
+     * Share of late answers at which a jammed way is held: its gate grows by this part of the work answered
+     * in
+     */
+    /**
+     * time and shrinks by the rest of what was late. Origins are late by their own slowness too: more is
+     * borne.
+     */
     private static final double CACHE_LATE = 0.1;
     private static final double FILL_LATE = 0.2;
     private static final double ORIGIN_LATE = 0.3;
@@ -311,8 +317,9 @@
     }
 
     /**
-     * Rank at which a copy is kept: the listed ones at the middle, others not at all. In the first interval after a
-     * start there is no list yet, so unlisted copies are kept at the lowest rank, where they push out no listed one.
+     * Rank at which a copy is kept: the listed ones at the middle, others not at all. In the first interval
+     * after a start there is no list yet, so unlisted copies are kept at the lowest rank, where they push out
+     * no listed one. /
      */
     private int rankOf(Req q, boolean cached) {
         if (!cached) {
@@ -832,8 +839,8 @@
     }
 
     /**
-     * A second copy of a safe request whose host ails or has gone silent by now. One that is merely late gets none:
-     * a second copy takes a jammed link twice.
+     * A second copy of a safe request whose host ails or has gone silent by now. One that is merely late gets
+     * none: a second copy takes a jammed link twice. /
      */
     private void hedge(Req q) {
         if (ailing(q.attempts.get(q.attempts.size() - 1).host)) {
--- a/src/test/java/brooklock/Rig.java
+++ b/src/test/java/brooklock/Rig.java
@@ -46,6 +46,7 @@
         rules = new Rules(settings, 7);
         List<Action> out = new ArrayList<>();
         rules.start(now, out);
+        now += 20_000 * MS;
     }
 
     static Settings settings(boolean duplicates, Group group) {
