--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -1,20 +1,6 @@
 package brooklock;
 
-import brooklock.RouterApi.Action;
-import brooklock.RouterApi.ClassSettings;
-import brooklock.RouterApi.Done;
-import brooklock.RouterApi.Effect;
-import brooklock.RouterApi.Event;
-import brooklock.RouterApi.Group;
-import brooklock.RouterApi.HostEntry;
-import brooklock.RouterApi.HostList;
-import brooklock.RouterApi.HostState;
-import brooklock.RouterApi.ListKind;
-import brooklock.RouterApi.Note;
-import brooklock.RouterApi.Outcome;
-import brooklock.RouterApi.Purged;
-import brooklock.RouterApi.Request;
-import brooklock.RouterApi.Settings;
+import brooklock.RouterApi.*;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -26,7 +12,7 @@
  * Every decision of one router, in the order a request lives: counted and looked up on the hot list, given an
  * edge cache and a source, sent, watched, tried again or given up. The interface is RouterApi.java. Times are
  * nanoseconds of the event's clock; a request's "work" is the time its bytes need at the pace of one
- * transfer. /
+ * transfer.
  */
 public final class Rules {
     /** Interval of the hot list: about as long as edge caches keep what nobody asks for again. */
@@ -66,6 +52,8 @@
      * A host is silent with this many attempts out and nothing heard for this multiple of the longest aim.
      */
     private static final int SILENT_ATTEMPTS = 3;
+    /** A source is not there if it failed within this multiple of the time-out of a connection. */
+    private static final double UNREACHED = 1.25;
     private static final double SILENT_AIMS = 2;
     /** Share of its aim after which an unanswered request is looked at again. */
     private static final double HEDGE_AT = 0.6;
@@ -101,7 +89,6 @@
     private static final double MEAN_WEIGHT = 0.05;
 
     private final Settings set;
-    private final long seed;
     private final TreeMap<Long, Host> hosts = new TreeMap<>();
     private final Map<Long, Req> requests = new HashMap<>();
     private final Map<Long, Alarm> alarms = new HashMap<>();
@@ -149,7 +136,7 @@
 
     /**
      * How much work may be out at once on a way that several requests share. It guards against a jam,
-     * whatever its cause: once answers come late, more work only makes all of it late. /
+     * whatever its cause: once answers come late, more work only makes all of it late.
      */
     private static final class Gate {
         final double borne;
@@ -228,10 +215,9 @@
     private record Alarm(long request, Purpose purpose) {
     }
 
-    /** An instance with its settings and the seed of its random choices. */
-    public Rules(Settings settings, long seed) {
+    /** An instance with its settings; nothing here is left to chance. */
+    public Rules(Settings settings) {
         this.set = settings;
-        this.seed = seed;
         classWork = new double[settings.classes().size()];
         for (int i = 0; i < classWork.length; i++) {
             classWork[i] = settings.classes().get(i).aimNs();
@@ -244,7 +230,7 @@
         intervalEnd = now + INTERVAL_NS;
         firstListAt = intervalEnd;
         if (set.listIsAsked()) {
-            out.add(new RouterApi.Watch());
+            out.add(new Watch());
         }
     }
 
@@ -256,11 +242,11 @@
             take(e);
         } else if (event instanceof Done e) {
             ended(e);
-        } else if (event instanceof RouterApi.TimerFired e) {
+        } else if (event instanceof TimerFired e) {
             alarm(alarms.remove(e.token()));
-        } else if (event instanceof RouterApi.Lapsed e) {
+        } else if (event instanceof Lapsed e) {
             close(requests.get(e.id()));
-        } else if (event instanceof RouterApi.Streaming e) {
+        } else if (event instanceof Streaming e) {
             stream(e);
         } else if (event instanceof HostList e) {
             hear(e);
@@ -319,7 +305,7 @@
     /**
      * Rank at which a copy is kept: the listed ones at the middle, others not at all. In the first interval
      * after a start there is no list yet, so unlisted copies are kept at the lowest rank, where they push out
-     * no listed one. /
+     * no listed one.
      */
     private int rankOf(Req q, boolean cached) {
         if (!cached) {
@@ -364,7 +350,7 @@
     private void setAlarm(long at, long request, Purpose purpose) {
         lastToken = (lastToken + 1) & 0xffffffffL;
         alarms.put(lastToken, new Alarm(request, purpose));
-        out.add(new RouterApi.SetTimer(lastToken, Math.max(at, now + 1)));
+        out.add(new SetTimer(lastToken, Math.max(at, now + 1)));
     }
 
     /** Sends a request where the design says, or gives it up. Returns whether it was sent. */
@@ -399,7 +385,7 @@
 
     /**
      * How far a request may reach now. Where a way is jammed it goes only as far as the way is free, and
-     * further on a miss if there is room by then: hits are served however jammed the fills are. /
+     * further on a miss if there is room by then: hits are served however jammed the fills are.
      */
     private Reach reach(Req q, Host target) {
         double work = q.work / wide(q);
@@ -575,10 +561,9 @@
      * Guards against pushing over a host that died and is back before the list tells: one that breaks off or
      * turns away several connections running is taken for started anew from then on. Should also help where a
      * list is lost. Harm: connections refused for want of room hold a warm host back for the length of a
-     * start. /
+     * start.
      */
-    private void lost(Host h, Outcome outcome) {
-        boolean broke = outcome == Outcome.RESET || outcome == Outcome.CONNECT_FAILED;
+    private void lost(Host h, boolean broke) {
         h.lost = broke ? h.lost + 1 : 0;
         if (h.lost >= SILENT_ATTEMPTS) {
             h.startedAt = now;
@@ -600,7 +585,7 @@
     /**
      * Guards against pushing over a cold host. Its budget grows with its warmth times what this router's own
      * traffic gives a warm peer, which all routers together cannot send above a peer's capacity, times a part
-     * of the allowed multiple. /
+     * of the allowed multiple.
      */
     private boolean affordable(Host h, Req q) {
         double warmth = warmth(h);
@@ -659,7 +644,7 @@
         if (source != target) {
             source.budget -= cost(q);
         }
-        out.add(new RouterApi.Get(q.ask.id(), target.entry.host(), Math.max(1, q.ask.deadlineNs() - now),
+        out.add(new Get(q.ask.id(), target.entry.host(), Math.max(1, q.ask.deadlineNs() - now),
                 source.entry.host(), rankOf(q, cached), oldest(q), set.joins() && !q.cls.goesThrough(),
                 reach == Reach.PARENT && isParent(source), false));
     }
@@ -708,7 +693,10 @@
         a.host.gate.load = Math.max(0, a.host.gate.load - a.work);
         fillGate.load = Math.max(0, fillGate.load - a.fillWork);
         originGate.load = Math.max(0, originGate.load - a.originWork);
-        lost(a.host, d.outcome());
+        lost(a.host, d.outcome() == Outcome.RESET || d.outcome() == Outcome.CONNECT_FAILED);
+        if (filled(d) || sourceFailed(d.note())) {
+            lost(a.source, unreached(d));
+        }
         learn(q, a, d);
         gates(q, a, d);
         if (d.closed()) {
@@ -722,7 +710,7 @@
 
     /** Who is to blame: the host that answered badly or not at all, or the source that its note names. */
     private void learn(Req q, Attempt a, Done d) {
-        boolean filled = d.note() == Note.FILLED || d.note() == Note.FILLED_BY_ORIGIN;
+        boolean filled = filled(d);
         if (d.outcome() == Outcome.OK) {
             heard(a.host, true);
             served.add(isCache(a.host) ? cost(q) : 0, now);
@@ -761,7 +749,7 @@
             a.host.gate.answered(onTime, a.work, least);
         } else if (ok && d.note() == Note.FILLED) {
             fillGate.answered(onTime, a.work, least);
-        } else if (ok && d.note() == Note.FILLED_BY_ORIGIN || sourceFailed(d.note())) {
+        } else if (ok && d.note() == Note.FILLED_BY_ORIGIN || sourceFailed(d.note()) && !unreached(d)) {
             originGate.answered(onTime, a.work, least);
         } else if (!ok && now >= q.aimAt) {
             (a.reach == Reach.CACHE ? a.host.gate : fillGate).answered(false, a.work, least);
@@ -774,6 +762,16 @@
         }
     }
 
+    private static boolean filled(Done d) {
+        return d.note() == Note.FILLED || d.note() == Note.FILLED_BY_ORIGIN;
+    }
+
+    /** A source that broke off within the time of a connection was not there; a slow one breaks off later. */
+    private boolean unreached(Done d) {
+        return d.note() == Note.SOURCE_BROKE
+                && d.sourceWaitNs() < UNREACHED * set.limits().connectTimeoutNs();
+    }
+
     private static boolean sourceFailed(Note note) {
         return note == Note.SOURCE_REFUSED || note == Note.SOURCE_BROKE || note == Note.ORIGIN_FAILED;
     }
@@ -840,7 +838,7 @@
 
     /**
      * A second copy of a safe request whose host ails or has gone silent by now. One that is merely late gets
-     * none: a second copy takes a jammed link twice. /
+     * none: a second copy takes a jammed link twice.
      */
     private void hedge(Req q) {
         if (ailing(q.attempts.get(q.attempts.size() - 1).host)) {
@@ -854,8 +852,8 @@
     private void giveUp(Req q) {
         boolean harmless = q.cls.effect() == Effect.SAFE || !q.mayHaveRun && q.open == 0
                 || q.cls.effect() == Effect.KEYED && q.cls.keyGroup() == Group.ALL;
-        out.add(harmless ? new RouterApi.Refuse(q.ask.id(), set.limits().retryAfter()
-                ? set.limits().maxRetryAfterNs() : 0) : new RouterApi.Fail(q.ask.id()));
+        out.add(harmless ? new Refuse(q.ask.id(), set.limits().retryAfter()
+                ? set.limits().maxRetryAfterNs() : 0) : new Fail(q.ask.id()));
         if (q.asked.times > 0) {
             q.asked.times--;
         }
@@ -863,7 +861,7 @@
     }
 
     /** A started stream is the client's: it is the answer, and its attempt is not called off. */
-    private void stream(RouterApi.Streaming e) {
+    private void stream(Streaming e) {
         Req q = requests.get(e.id());
         if (q != null && e.attempt() < q.attempts.size()) {
             q.attempts.get(e.attempt()).streams = true;
@@ -879,7 +877,7 @@
         if (set.limits().cancel()) {
             for (int i = 0; i < q.attempts.size(); i++) {
                 if (!q.attempts.get(i).over && !q.attempts.get(i).streams) {
-                    out.add(new RouterApi.Cancel(q.ask.id(), i));
+                    out.add(new Cancel(q.ask.id(), i));
                 }
             }
         }
@@ -896,7 +894,7 @@
 
     private void hear(HostList l) {
         if (l.kind() == ListKind.FAILED) {
-            out.add(new RouterApi.Watch());
+            out.add(new Watch());
             return;
         }
         if (l.kind() != ListKind.DELTA) {
--- a/src/main/java/brooklock/WireCodec.java
+++ b/src/main/java/brooklock/WireCodec.java
@@ -68,7 +68,7 @@
     }
 
     /** The first message of an instance. */
-    record Start(long seed, Settings settings) {
+    record Start(Settings settings) {
     }
 
     /** Reads the records of one batch. Fields left off at a record's end read as 0. */
@@ -121,10 +121,10 @@
 
         Start start() {
             return guarded(() -> {
-                long seed = must64();
+                must64();
                 byte[] text = bytes(must32());
                 try {
-                    return new Start(seed, settings(JsonParser.parseString(
+                    return new Start(settings(JsonParser.parseString(
                             new String(text, StandardCharsets.UTF_8)).getAsJsonObject()));
                 } catch (BufferUnderflowException e) {
                     throw e;
--- a/src/main/java/brooklock/WireHost.java
+++ b/src/main/java/brooklock/WireHost.java
@@ -58,7 +58,7 @@
         if (reader.isStart()) {
             WireCodec.Start start = reader.start();
             run(who, writer, out -> {
-                Rules rules = new Rules(start.settings(), start.seed());
+                Rules rules = new Rules(start.settings());
                 instances.put(who, rules);
                 rules.start(now, out);
             });
--- a/src/test/java/brooklock/Rig.java
+++ b/src/test/java/brooklock/Rig.java
@@ -43,7 +43,7 @@
     }
 
     Rig(Settings settings) {
-        rules = new Rules(settings, 7);
+        rules = new Rules(settings);
         List<Action> out = new ArrayList<>();
         rules.start(now, out);
         now += 20_000 * MS;
--- a/src/test/java/brooklock/RulesTest.java
+++ b/src/test/java/brooklock/RulesTest.java
@@ -381,6 +381,23 @@
         }
     }
 
+    @Test
+    void parentsThatAreNotReachedMakeWayForTheOrigin() {
+        Rig rig = new Rig().withFleet();
+        boolean origin = false;
+        for (int i = 0; i < 40 && !origin; i++) {
+            rig.now += 5 * MS;
+            Get g = rig.ask(PAGE, i);
+            origin = g.source() == Rig.ORIGIN_HOST;
+            Get next = Rig.get(rig.done(g, origin ? Outcome.OK : Outcome.FULL,
+                    origin ? Note.FILLED : Note.SOURCE_BROKE, 5));
+            if (next != null) {
+                rig.done(next, Outcome.OK, Note.HIT, 5);
+            }
+        }
+        assertTrue(origin);
+    }
+
     @Test
     void aJammedWayInIsLookedThroughFirstAndHitsAreStillServed() {
         Rig rig = new Rig().withFleet();
