--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -52,9 +52,9 @@
      * A host is silent with this many attempts out and nothing heard for this multiple of the longest aim.
      */
     private static final int SILENT_ATTEMPTS = 3;
+    private static final double SILENT_AIMS = 2;
     /** A source is not there if it failed within this multiple of the time-out of a connection. */
     private static final double UNREACHED = 1.25;
-    private static final double SILENT_AIMS = 2;
     /** Share of its aim after which an unanswered request is looked at again. */
     private static final double HEDGE_AT = 0.6;
     /** Further tries are limited to this share of requests, with this much saved up. */
@@ -68,11 +68,7 @@
     private static final long PURGE_MARGIN_NS = 1_000_000L;
     /**
      * Share of late answers at which a jammed way is held: its gate grows by this part of the work answered
-     * in
-     */
-    /**
-     * time and shrinks by the rest of what was late. Origins are late by their own slowness too: more is
-     * borne.
+     * in time and shrinks by the rest of what was late. Origins are late by their own slowness too.
      */
     private static final double CACHE_LATE = 0.1;
     private static final double FILL_LATE = 0.2;
