Cold budgets use the rate a warm host took when it took it

A location's running rate was divided by the hosts left now, so when most drained the one cold host seemed to be owed all of it. Change: work is booked divided by the warm capacity that shared it.

--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -589,7 +589,8 @@
             return true;
         }
         double multiple = isParent(h) ? set.guards().parentFallMultiple() : set.guards().fallMultiple();
-        double rate = peerRate(h) * warmth * Math.min(COLD_MOST, multiple * COLD_MARGIN);
+        double unit = (isParent(h) ? fills : served).perNs(now) * weight(h);
+        double rate = unit * warmth * Math.min(COLD_MOST, multiple * COLD_MARGIN);
         double most = Math.max(rate * set.guards().overloadForNs() / 2, cost(q));
         h.budget = Math.min(most, h.budget + rate * (now - Math.max(h.budgetAt, h.startedAt)));
         h.budgetAt = now;
@@ -600,8 +601,11 @@
         return classWork[q.ask.cls()];
     }
 
-    /** Work that a warm host of this one's size takes from this router. */
-    private double peerRate(Host h) {
+    /**
+     * Books work that a host took to the rate of one warm host of unit size. It is divided by the hosts that
+     * shared it then, not by those left now: when most of a location leaves, the rest has not grown.
+     */
+    private void book(Host h, double work) {
         double size = 0;
         for (Host p : hosts.values()) {
             if (ready(p) && isParent(p) == isParent(h)
@@ -609,7 +613,9 @@
                 size += weight(p) * warmth(p);
             }
         }
-        return (isParent(h) ? fills : served).perNs(now) * weight(h) / Math.max(size, weight(h));
+        if (size > 0 && ready(h)) {
+            (isParent(h) ? fills : served).add(work / size, now);
+        }
     }
 
     // ---- Sending
@@ -709,7 +715,9 @@
         boolean filled = filled(d);
         if (d.outcome() == Outcome.OK) {
             heard(a.host, true);
-            served.add(isCache(a.host) ? cost(q) : 0, now);
+            if (isCache(a.host)) {
+                book(a.host, cost(q));
+            }
             learnWork(q, a, d);
             if (filled) {
                 heard(a.source, true);
@@ -725,7 +733,7 @@
             a.host.unansweredSince = now;
         }
         if (isParent(a.source) && filled) {
-            fills.add(cost(q), now);
+            book(a.source, cost(q));
         } else if (isParent(a.source) && a.source != a.host && d.outcome() == Outcome.OK) {
             a.source.budget += cost(q);
         }
--- a/src/test/java/brooklock/RulesTest.java
+++ b/src/test/java/brooklock/RulesTest.java
@@ -292,6 +292,22 @@
         assertTrue(shareOf(rig, 12, 2000) > 300);
     }
 
+    @Test
+    void aColdCacheGetsNoMoreWhenItsWarmPeersLeave() {
+        Rig rig = new Rig().withFleet();
+        warmUp(rig);
+        rig.change(Rig.host(12, 1, Rig.CACHE, HostState.READY, rig.now - 10_000 * MS));
+        rig.change(Rig.host(11, 1, Rig.CACHE, HostState.DRAINING, 0),
+                Rig.host(13, 1, Rig.CACHE, HostState.DRAINING, 0), Rig.host(14, 1, Rig.CACHE, HostState.DRAINING, 0));
+        long sent = 0;
+        for (int i = 0; i < 200; i++) {
+            rig.now += 5 * MS;
+            Get g = rig.ask(PAGE, i);
+            sent += g != null && g.host() == 12 ? 1 : 0;
+        }
+        assertTrue(sent > 10 && sent < 100, "of 200, where a warm peer took 50: " + sent);
+    }
+
     @Test
     void aColdParentIsPassedOver() {
         Rig rig = new Rig().withFleet();
