--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -73,6 +73,8 @@
     private static final double CACHE_LATE = 0.1;
     private static final double FILL_LATE = 0.2;
     private static final double ORIGIN_LATE = 0.3;
+    /** No one late answer takes more than this part of a gate: a large one must not shut it for all. */
+    private static final double GATE_CUT = 0.25;
     /** Running share of late answers that starts a gate's limit, and the weight of one answer in it. */
     private static final double LATE_SHARE = 0.15;
     private static final double LATE_WEIGHT = 0.1;
@@ -153,7 +155,8 @@
             if (limit == Double.POSITIVE_INFINITY) {
                 limit = late > LATE_SHARE ? Math.max(least, load + work) : limit;
             } else if (load + work > limit / 2) {
-                limit = Math.max(least, limit + (onTime ? borne : borne - 1) * work);
+                double cut = Math.min((1 - borne) * work, GATE_CUT * limit);
+                limit = Math.max(least, limit + (onTime ? borne * work : -cut));
             }
         }
     }
