An origin that fails behind a parent is not the cache's fault

Cause: errors with note 10 (the parent's origin failed) were booked to the edge cache, which was then left for one that would fail alike.

--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -725,9 +725,9 @@
             if (filled) {
                 heard(a.source, true);
             }
-        } else if (d.note() == Note.SOURCE_REFUSED || d.note() == Note.SOURCE_BROKE) {
+        } else if (sourceFailed(d.note())) {
             heard(a.host, true);
-            heard(a.source, false);
+            heard(a.source, d.note() == Note.ORIGIN_FAILED);
         } else if (d.outcome() == Outcome.TIMEOUT && a.host.unansweredSince <= a.sentAt
                 || d.outcome() == Outcome.ERROR || d.outcome() == Outcome.RESET
                 || d.outcome() == Outcome.CONNECT_FAILED) {
--- a/src/test/java/brooklock/RulesTest.java
+++ b/src/test/java/brooklock/RulesTest.java
@@ -397,6 +397,24 @@
         }
     }
 
+    @Test
+    void anOriginThatFailsBehindTheParentIsNotTheCachesFault() {
+        Rig rig = new Rig().withFleet();
+        int asked = 0;
+        for (int i = 0; i < 60; i++) {
+            rig.now += 5 * MS;
+            Get g = rig.ask(PAGE, i);
+            boolean failing = g.host() == 12;
+            asked += failing ? 1 : 0;
+            Get next = Rig.get(rig.done(g, failing ? Outcome.ERROR : Outcome.OK,
+                    failing ? Note.ORIGIN_FAILED : Note.HIT, 5));
+            if (next != null) {
+                rig.done(next, Outcome.OK, Note.HIT, 5);
+            }
+        }
+        assertTrue(asked > 8, "of some 15 due: " + asked);
+    }
+
     @Test
     void parentsThatAreNotReachedMakeWayForTheOrigin() {
         Rig rig = new Rig().withFleet();
