--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -88,6 +88,11 @@
 
     private final Settings set;
     private final TreeMap<Long, Host> hosts = new TreeMap<>();
+    /** What the list names as ready, by what this router uses it for; made anew when the list changes. */
+    private final List<Host> edges = new ArrayList<>();
+    private final List<Host> nearParents = new ArrayList<>();
+    private final List<Host> farParents = new ArrayList<>();
+    private Host origin;
     private final Map<Long, Req> requests = new HashMap<>();
     private final Map<Long, Alarm> alarms = new HashMap<>();
     private final Map<Long, Long> purgedObjects = new LinkedHashMap<>();
@@ -170,6 +175,7 @@
         long trialAt;
         long startedAt;
         int lost;
+        double score;
         long unansweredSince;
         double budget;
         long budgetAt;
@@ -360,14 +366,14 @@
         Host target;
         Host source;
         if (q.cls.goesThrough() && set.direct()) {
-            target = pickOrigin();
+            target = origin;
             source = target;
         } else {
             target = pickEdge(q);
-            source = q.cls.goesThrough() ? pickOrigin() : pickSource(q);
+            source = q.cls.goesThrough() ? origin : pickSource(q);
             if (target == null && set.direct()) {
                 target = source;
-                source = pickOrigin();
+                source = origin;
             }
         }
         boolean asIs = target == null || q.cls.goesThrough();
@@ -409,25 +415,19 @@
 
     /** Caches of the own location by rendezvous hashing, each passed over if it ails, is cold or too busy. */
     private Host pickEdge(Req q) {
-        List<Host> order = new ArrayList<>();
+        long copy = mix(q.ask.object() * 31 + q.ask.part());
         double load = 0;
         double weight = 0;
-        for (Host h : hosts.values()) {
-            if (isCache(h) && h.entry.zone() == set.zone() && ready(h)) {
-                order.add(h);
-                load += h.gate.load;
-                weight += weight(h);
-            }
+        for (Host h : edges) {
+            h.score = score(copy, h);
+            load += h.gate.load;
+            weight += weight(h);
         }
-        if (order.isEmpty()) {
-            return null;
-        }
-        long copy = mix(q.ask.object() * 31 + q.ask.part());
-        order.sort((a, b) -> Double.compare(score(copy, b), score(copy, a)));
-        double bound = LOAD_BOUND * load / weight + LOAD_SLACK * meanWork / weight * order.size();
+        edges.sort((a, b) -> Double.compare(b.score, a.score));
+        double bound = LOAD_BOUND * load / weight + LOAD_SLACK * meanWork / weight * edges.size();
         Host best = null;
         int left = width(q.asked);
-        for (Host h : order) {
+        for (Host h : edges) {
             if (tried(q, h) || !fit(h) || h.gate.load / weight(h) > bound || !affordable(h, q)) {
                 continue;
             }
@@ -436,13 +436,13 @@
                 break;
             }
         }
-        return best != null ? best : leastLoaded(order, q);
+        return best != null ? best : leastLoaded(q);
     }
 
     /** Where every cache is too busy or ails, the least busy one that the rules allow, tried ones last. */
-    private Host leastLoaded(List<Host> order, Req q) {
+    private Host leastLoaded(Req q) {
         Host best = null;
-        for (Host h : order) {
+        for (Host h : edges) {
             if (affordable(h, q) && (best == null || rank(q, h) < rank(q, best))) {
                 best = h;
             }
@@ -454,34 +454,28 @@
         return h.gate.load / weight(h) + (tried(q, h) ? 1e15 : 0) + (ailing(h) ? 1e12 : 0);
     }
 
-    /**
-     * Parents of the own hub by hash, then other parents, ailing ones last; the origin only where none may be
-     * used.
-     */
+    /** A parent of the own hub by hash, else of another, ailing ones last; the origin where none will do. */
     private Host pickSource(Req q) {
-        Host best = null;
-        double bestScore = 0;
+        Host near = bestParent(q, nearParents);
+        Host far = near == null || unwanted(q, near) > 0 ? bestParent(q, farParents) : null;
+        Host best = near == null || far != null && unwanted(q, far) < unwanted(q, near) ? far : near;
+        return best != null ? best : origin;
+    }
+
+    private Host bestParent(Req q, List<Host> parents) {
         long copy = mix(q.ask.object() * 31 + q.ask.part());
-        for (Host h : hosts.values()) {
-            if (isParent(h) && ready(h) && affordable(h, q)) {
-                double s = score(copy, h) + (ownHub(h) ? 1e6 : 0);
-                s -= (refusedBy(q, h) ? 4e6 : 0) + (fit(h) ? 0 : 2e6);
-                if (best == null || s > bestScore) {
-                    best = h;
-                    bestScore = s;
-                }
+        Host best = null;
+        for (Host h : parents) {
+            h.score = score(copy, h) - 1e6 * unwanted(q, h);
+            if (affordable(h, q) && (best == null || h.score > best.score)) {
+                best = h;
             }
         }
-        return best != null ? best : pickOrigin();
+        return best;
     }
 
-    private Host pickOrigin() {
-        for (Host h : hosts.values()) {
-            if (h.entry.kind() == set.originKind() && ready(h)) {
-                return h;
-            }
-        }
-        return null;
+    private int unwanted(Req q, Host h) {
+        return (refusedBy(q, h) ? 2 : 0) + (fit(h) ? 0 : 1);
     }
 
     private boolean isParent(Host h) {
@@ -492,10 +486,6 @@
         return !isParent(h) && h.entry.kind() != set.originKind();
     }
 
-    private boolean ownHub(Host h) {
-        return set.zone() < set.hubByZone().size() && h.entry.zone() == set.hubByZone().get(set.zone());
-    }
-
     private double weight(Host h) {
         return set.weighted() && h.entry.weight() > 0 ? h.entry.weight() : 1;
     }
@@ -527,14 +517,7 @@
 
     /** Fit for ordinary requests; an ailing host gets one trial now and then. */
     private boolean fit(Host h) {
-        if (!ailing(h)) {
-            return true;
-        }
-        if (now < h.trialAt) {
-            return false;
-        }
-        h.trialAt = now + TRIAL_NS;
-        return true;
+        return !ailing(h) || now >= h.trialAt;
     }
 
     private boolean ailing(Host h) {
@@ -610,11 +593,8 @@
      */
     private void book(Host h, double work) {
         double size = 0;
-        for (Host p : hosts.values()) {
-            if (ready(p) && isParent(p) == isParent(h)
-                    && (isParent(h) ? ownHub(p) : isCache(p) && p.entry.zone() == set.zone())) {
-                size += weight(p) * warmth(p);
-            }
+        for (Host p : isParent(h) ? nearParents : edges) {
+            size += weight(p) * warmth(p);
         }
         if (size > 0 && ready(h)) {
             (isParent(h) ? fills : served).add(work / size, now);
@@ -645,15 +625,22 @@
         a.originWork = reach != Reach.ORIGIN ? 0 : a.fillWork * (q.parentLacks ? 1 : parentMissShare);
         fillGate.load += a.fillWork;
         originGate.load += a.originWork;
-        target.budget -= cost(q);
+        spend(target, q);
         if (source != target) {
-            source.budget -= cost(q);
+            spend(source, q);
         }
         out.add(new Get(q.ask.id(), target.entry.host(), Math.max(1, q.ask.deadlineNs() - now),
                 source.entry.host(), rankOf(q, cached), oldest(q), set.joins() && !q.cls.goesThrough(),
                 reach == Reach.PARENT && isParent(source), false));
     }
 
+    private void spend(Host h, Req q) {
+        h.budget -= cost(q);
+        if (ailing(h)) {
+            h.trialAt = now + TRIAL_NS;
+        }
+    }
+
     // ---- Purges
 
     private void purge(Purged p) {
@@ -919,6 +906,27 @@
             h.entry = e;
         }
         hosts.values().removeIf(h -> h.entry.state() == HostState.GONE && h.attempts == 0);
+        sortOut();
+    }
+
+    private void sortOut() {
+        edges.clear();
+        nearParents.clear();
+        farParents.clear();
+        origin = null;
+        int hub = set.zone() < set.hubByZone().size() ? set.hubByZone().get(set.zone()) : -1;
+        for (Host h : hosts.values()) {
+            if (!ready(h)) {
+                continue;
+            }
+            if (isParent(h)) {
+                (h.entry.zone() == hub ? nearParents : farParents).add(h);
+            } else if (!isCache(h)) {
+                origin = origin == null ? h : origin;
+            } else if (h.entry.zone() == set.zone()) {
+                edges.add(h);
+            }
+        }
     }
 
     private static HostEntry withState(HostEntry e, HostState s) {
