--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -316,17 +316,7 @@
         if (!cached) {
             return 0;
         }
-        return q.hot ? LISTED_RANK : now < firstListAt || !ours(q) ? UNKNOWN_RANK : 0;
-    }
-
-    /**
-     * The thin slice: of n routers before the same caches, one sees an n-th of the askings, so what it did
-     * not see asked before, the others saw with chance (n - 1) / n. That share of unlisted copies is kept at
-     * the lowest rank, where a neighbour's hit or list finds it; alone, a router keeps none.
-     */
-    private boolean ours(Req q) {
-        int routers = set.zone() < set.seatsByZone().size() ? set.seatsByZone().get(set.zone()) : 1;
-        return Long.remainderUnsigned(mix(q.ask.object() * 31 + set.ordinal()), Math.max(1, routers)) == 0;
+        return q.hot ? LISTED_RANK : now < firstListAt ? UNKNOWN_RANK : 0;
     }
 
     // ---- A request comes
