--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -78,8 +78,11 @@
     /** Running share of late answers that starts a gate's limit, and the weight of one answer in it. */
     private static final double LATE_SHARE = 0.15;
     private static final double LATE_WEIGHT = 0.1;
-    /** A gate is left open for this many mean requests, and for dense worth by this much wider. */
-    private static final double GATE_LEAST = 2;
+    /**
+     * A gate is left open for this part of a mean request, since many routers' floors add up on one way, and
+     * for dense worth by this much wider.
+     */
+    private static final double GATE_LEAST = 0.02;
     private static final double GATE_DENSE = 1.25;
     /** Share of requests taken to need a fill until it has been measured. */
     private static final double MISS_START = 0.3;
@@ -146,13 +149,22 @@
         double load;
         double limit = Double.POSITIVE_INFINITY;
         double late;
+        long restUntil;
 
         Gate(double borne) {
             this.borne = borne;
         }
 
-        boolean admits(double work) {
-            return load <= 0 || load + work <= limit;
+        /** A gate narrower than one request lets one in at a time and rests after it, to the same mean. */
+        boolean admits(double work, long now) {
+            return load + work <= limit || load <= 0 && now >= restUntil;
+        }
+
+        void left(double work, long took, long now) {
+            load = Math.max(0, load - work);
+            if (work > limit) {
+                restUntil = now + (long) (Math.max(took, work) * (work / limit - 1));
+            }
         }
 
         void answered(boolean onTime, double work, double least) {
@@ -161,7 +173,7 @@
                 limit = late > LATE_SHARE ? Math.max(least, load + work) : limit;
             } else if (load + work > limit / 2) {
                 double cut = Math.min((1 - borne) * work, GATE_CUT * limit);
-                limit = Math.max(least, limit + (onTime ? borne * work : -cut));
+                limit = Math.max(least, limit + (onTime ? Math.min(borne * work, limit) : -cut));
             }
         }
     }
@@ -395,12 +407,12 @@
     private Reach reach(Req q, Host target) {
         double work = q.work / wide(q);
         if (!isCache(target)) {
-            return fillGate.admits(work) ? Reach.ORIGIN : Reach.NONE;
+            return fillGate.admits(work, now) ? Reach.ORIGIN : Reach.NONE;
         }
-        boolean fill = fillGate.admits(work * (q.missed ? 1 : missShare));
+        boolean fill = fillGate.admits(work * (q.missed ? 1 : missShare), now);
         boolean origin = originGate.admits(work * (q.parentLacks ? 1 : q.missed ? parentMissShare
-                : missShare * parentMissShare));
-        if (!target.gate.admits(work) || q.missed && !fill || q.parentLacks && !origin) {
+                : missShare * parentMissShare), now);
+        if (!target.gate.admits(work, now) || q.missed && !fill || q.parentLacks && !origin) {
             return Reach.NONE;
         }
         return !fill ? Reach.CACHE : origin ? Reach.ORIGIN : Reach.PARENT;
@@ -682,9 +694,9 @@
         a.over = true;
         q.open--;
         a.host.attempts--;
-        a.host.gate.load = Math.max(0, a.host.gate.load - a.work);
-        fillGate.load = Math.max(0, fillGate.load - a.fillWork);
-        originGate.load = Math.max(0, originGate.load - a.originWork);
+        a.host.gate.left(a.work, d.tookNs(), now);
+        fillGate.left(a.fillWork, d.tookNs(), now);
+        originGate.left(a.originWork, d.tookNs(), now);
         lost(a.host, d.outcome() == Outcome.RESET || d.outcome() == Outcome.CONNECT_FAILED);
         if (filled(d) || sourceFailed(d.note())) {
             lost(a.source, unreached(d));
