--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -507,7 +507,12 @@
     }
 
     private static boolean tried(Req q, Host h) {
-        return q.attempts.stream().anyMatch(a -> a.host == h && a.reach == Reach.ORIGIN);
+        return q.attempts.stream().anyMatch(a -> a.host == h && a.reach == Reach.ORIGIN && !overtaken(a));
+    }
+
+    /** Its host has answered others since it was sent: what is missing is the answer, not the host. */
+    private static boolean overtaken(Attempt a) {
+        return !a.over && a.host.unansweredSince > a.sentAt;
     }
 
     private static boolean refusedBy(Req q, Host h) {
@@ -691,6 +696,7 @@
             return;
         }
         Attempt a = q.attempts.get(d.attempt());
+        boolean lostAnswer = overtaken(a) && (d.outcome() == Outcome.TIMEOUT || d.outcome() == Outcome.CANCELLED);
         a.over = true;
         q.open--;
         a.host.attempts--;
@@ -702,7 +708,9 @@
             lost(a.source, unreached(d));
         }
         learn(q, a, d);
-        gates(q, a, d);
+        if (!lostAnswer) {
+            gates(q, a, d);
+        }
         if (d.closed()) {
             close(q);
         } else if (!q.closed) {
@@ -843,12 +851,16 @@
     }
 
     /**
-     * A second copy of a safe request whose host ails or has gone silent by now. One that is merely late gets
-     * none: a second copy takes a jammed link twice.
+     * A second copy of a safe request whose host ails or has gone silent by now, or whose answer was lost: its
+     * host has answered others since. Where answers are late none is sent: it would take a jammed link twice.
      */
     private void hedge(Req q) {
-        if (ailing(q.attempts.get(q.attempts.size() - 1).host)) {
+        Attempt a = q.attempts.get(q.attempts.size() - 1);
+        boolean free = a.host.gate.late < LATE_SHARE && fillGate.late < LATE_SHARE;
+        if (ailing(a.host)) {
             launch(q);
+        } else if (free && overtaken(a) && retries >= 1 && launch(q)) {
+            retries--;
         }
     }
 
