--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -169,6 +169,10 @@
 
         void answered(boolean onTime, double work, double least) {
             late += LATE_WEIGHT * ((onTime ? 0 : 1) - late);
+            move(onTime, work, least);
+        }
+
+        void move(boolean onTime, double work, double least) {
             if (limit == Double.POSITIVE_INFINITY) {
                 limit = late > LATE_SHARE ? Math.max(least, load + work) : limit;
             } else if (load + work > limit / 2) {
@@ -708,9 +712,7 @@
             lost(a.source, unreached(d));
         }
         learn(q, a, d);
-        if (!lostAnswer) {
-            gates(q, a, d);
-        }
+        gates(q, a, d, lostAnswer);
         if (d.closed()) {
             close(q);
         } else if (!q.closed) {
@@ -750,7 +752,7 @@
     }
 
     /** A hit tells of the cache's own link, a parent's copy of the way in, the rest of the origin behind. */
-    private void gates(Req q, Attempt a, Done d) {
+    private void gates(Req q, Attempt a, Done d, boolean lostAnswer) {
         if (q.cls.goesThrough() || !q.sized) {
             return;
         }
@@ -766,7 +768,12 @@
         } else if (ok && d.note() == Note.FILLED_BY_ORIGIN || sourceFailed(d.note()) && !unreached(d)) {
             originGate.answered(onTime, a.work, least);
         } else if (!ok && now >= q.aimAt) {
-            (a.reach == Reach.CACHE ? a.host.gate : fillGate).answered(false, a.work, least);
+            Gate gate = a.reach == Reach.CACHE ? a.host.gate : fillGate;
+            if (!lostAnswer) {
+                gate.answered(false, a.work, least);
+            } else if (gate.late > LATE_SHARE) {
+                gate.move(false, a.work, least);
+            }
         }
         if (ok && a.reach == Reach.ORIGIN && isCache(a.host) && !q.missed) {
             missShare += MEAN_WEIGHT * ((d.note() == Note.HIT ? 0 : 1) - missShare);
