--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -866,7 +866,7 @@
         boolean free = a.host.gate.late < LATE_SHARE && fillGate.late < LATE_SHARE;
         if (ailing(a.host)) {
             launch(q);
-        } else if (free && overtaken(a) && retries >= 1 && launch(q)) {
+        } else if (q.sized && free && overtaken(a) && retries >= 1 && launch(q)) {
             retries--;
         }
     }
