--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -79,10 +79,10 @@
     private static final double LATE_SHARE = 0.15;
     private static final double LATE_WEIGHT = 0.1;
     /**
-     * A gate is left open for this part of a mean request, since many routers' floors add up on one way, and
-     * for dense worth by this much wider.
+     * The gates of all routers on one way are left open for this many mean requests together, and for dense
+     * worth by this much wider.
      */
-    private static final double GATE_LEAST = 0.02;
+    private static final double GATE_LEAST = 4;
     private static final double GATE_DENSE = 1.25;
     /** Share of requests taken to need a fill until it has been measured. */
     private static final double MISS_START = 0.3;
@@ -101,14 +101,16 @@
     private final Map<Long, Long> purgedObjects = new LinkedHashMap<>();
     private final Map<Integer, Long> purgedGroups = new LinkedHashMap<>();
     private final double[] classWork;
+    /** Routers of the own location: they share its caches and its way in. */
+    private final int seats;
     private Map<Long, Asked> listed = new HashMap<>();
     private LinkedHashMap<Long, Asked> counted = new LinkedHashMap<>();
     private long intervalEnd;
     private long firstListAt;
     private long lastToken;
     private double retries = SAVED_MAX;
-    private final Gate fillGate = new Gate(FILL_LATE);
-    private final Gate originGate = new Gate(ORIGIN_LATE);
+    private final Gate fillGate;
+    private final Gate originGate;
     private double missShare = MISS_START;
     private double parentMissShare = MISS_START;
     private double density;
@@ -146,13 +148,15 @@
      */
     private static final class Gate {
         final double borne;
+        final int routers;
         double load;
         double limit = Double.POSITIVE_INFINITY;
         double late;
         long restUntil;
 
-        Gate(double borne) {
+        Gate(double borne, int routers) {
             this.borne = borne;
+            this.routers = routers;
         }
 
         /** A gate narrower than one request lets one in at a time and rests after it, to the same mean. */
@@ -167,12 +171,13 @@
             }
         }
 
-        void answered(boolean onTime, double work, double least) {
+        void answered(boolean onTime, double work, double meanWork) {
             late += LATE_WEIGHT * ((onTime ? 0 : 1) - late);
-            move(onTime, work, least);
+            move(onTime, work, meanWork);
         }
 
-        void move(boolean onTime, double work, double least) {
+        void move(boolean onTime, double work, double meanWork) {
+            double least = GATE_LEAST * meanWork / routers;
             if (limit == Double.POSITIVE_INFINITY) {
                 limit = late > LATE_SHARE ? Math.max(least, load + work) : limit;
             } else if (load + work > limit / 2) {
@@ -185,7 +190,7 @@
     /** What this router knows of a host. */
     private static final class Host {
         HostEntry entry;
-        final Gate gate = new Gate(CACHE_LATE);
+        final Gate gate;
         int attempts;
         double failShare;
         long trialAt;
@@ -195,6 +200,10 @@
         long unansweredSince;
         double budget;
         long budgetAt;
+
+        Host(int routers) {
+            gate = new Gate(CACHE_LATE, routers);
+        }
     }
 
     /** An attempt that is out. */
@@ -239,6 +248,10 @@
     /** An instance with its settings; nothing here is left to chance. */
     public Rules(Settings settings) {
         this.set = settings;
+        List<Integer> byZone = settings.seatsByZone();
+        seats = Math.max(1, settings.zone() < byZone.size() ? byZone.get(settings.zone()) : settings.routers());
+        fillGate = new Gate(FILL_LATE, seats);
+        originGate = new Gate(ORIGIN_LATE, Math.max(1, settings.routers()));
         classWork = new double[settings.classes().size()];
         for (int i = 0; i < classWork.length; i++) {
             classWork[i] = settings.classes().get(i).aimNs();
@@ -758,21 +771,20 @@
         }
         boolean ok = d.outcome() == Outcome.OK;
         boolean onTime = ok && d.tookNs() < q.aimAt - q.takenAt;
-        double least = GATE_LEAST * meanWork;
         if (ok && !isCache(a.host)) {
-            fillGate.answered(onTime, a.work, least);
+            fillGate.answered(onTime, a.work, meanWork);
         } else if (ok && d.note() == Note.HIT) {
-            a.host.gate.answered(onTime, a.work, least);
+            a.host.gate.answered(onTime, a.work, meanWork);
         } else if (ok && d.note() == Note.FILLED) {
-            fillGate.answered(onTime, a.work, least);
+            fillGate.answered(onTime, a.work, meanWork);
         } else if (ok && d.note() == Note.FILLED_BY_ORIGIN || sourceFailed(d.note()) && !unreached(d)) {
-            originGate.answered(onTime, a.work, least);
+            originGate.answered(onTime, a.work, meanWork);
         } else if (!ok && now >= q.aimAt) {
             Gate gate = a.reach == Reach.CACHE ? a.host.gate : fillGate;
             if (!lostAnswer) {
-                gate.answered(false, a.work, least);
+                gate.answered(false, a.work, meanWork);
             } else if (gate.late > LATE_SHARE) {
-                gate.move(false, a.work, least);
+                gate.move(false, a.work, meanWork);
             }
         }
         if (ok && a.reach == Reach.ORIGIN && isCache(a.host) && !q.missed) {
@@ -926,7 +938,7 @@
             hosts.values().forEach(h -> h.entry = withState(h.entry, HostState.GONE));
         }
         for (HostEntry e : l.entries()) {
-            Host h = hosts.computeIfAbsent(e.host(), k -> new Host());
+            Host h = hosts.computeIfAbsent(e.host(), k -> new Host(seats));
             if (h.entry == null || h.entry.startedAtNs() != e.startedAtNs()) {
                 h.failShare = 0;
                 h.budget = 0;
