--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -164,18 +164,23 @@
             return load + work <= limit || load <= 0 && now >= restUntil;
         }
 
-        void left(double work, long took, long now) {
+        void left(double work, long now) {
             load = Math.max(0, load - work);
             if (work > limit) {
-                restUntil = now + (long) (Math.max(took, work) * (work / limit - 1));
+                restUntil = now + (long) (work * (work / limit - 1));
             }
         }
 
         void answered(boolean onTime, double work, double meanWork) {
-            late += LATE_WEIGHT * ((onTime ? 0 : 1) - late);
+            hint(onTime);
             move(onTime, work, meanWork);
         }
 
+        /** An answer of unknown size may be late for its size alone, so it moves no limit. */
+        void hint(boolean onTime) {
+            late += LATE_WEIGHT * ((onTime ? 0 : 1) - late);
+        }
+
         void move(boolean onTime, double work, double meanWork) {
             double least = GATE_LEAST * meanWork / routers;
             if (limit == Double.POSITIVE_INFINITY) {
@@ -212,6 +217,7 @@
         Host source;
         long sentAt;
         double work;
+        double gateWork;
         double fillWork;
         double originWork;
         Reach reach;
@@ -651,7 +657,8 @@
         if (target.attempts++ == 0) {
             target.unansweredSince = now;
         }
-        target.gate.load += a.work;
+        a.gateWork = a.work;
+        target.gate.load += a.gateWork;
         a.reach = reach;
         boolean cached = isCache(target) && !q.cls.goesThrough();
         a.fillWork = reach == Reach.CACHE || q.cls.goesThrough() ? 0
@@ -717,9 +724,7 @@
         a.over = true;
         q.open--;
         a.host.attempts--;
-        a.host.gate.left(a.work, d.tookNs(), now);
-        fillGate.left(a.fillWork, d.tookNs(), now);
-        originGate.left(a.originWork, d.tookNs(), now);
+        leaveGates(a);
         lost(a.host, d.outcome() == Outcome.RESET || d.outcome() == Outcome.CONNECT_FAILED);
         if (filled(d) || sourceFailed(d.note())) {
             lost(a.source, unreached(d));
@@ -735,6 +740,15 @@
         forget(q);
     }
 
+    private void leaveGates(Attempt a) {
+        a.host.gate.left(a.gateWork, now);
+        fillGate.left(a.fillWork, now);
+        originGate.left(a.originWork, now);
+        a.gateWork = 0;
+        a.fillWork = 0;
+        a.originWork = 0;
+    }
+
     /** Who is to blame: the host that answered badly or not at all, or the source that its note names. */
     private void learn(Req q, Attempt a, Done d) {
         boolean filled = filled(d);
@@ -766,12 +780,14 @@
 
     /** A hit tells of the cache's own link, a parent's copy of the way in, the rest of the origin behind. */
     private void gates(Req q, Attempt a, Done d, boolean lostAnswer) {
-        if (q.cls.goesThrough() || !q.sized) {
+        if (q.cls.goesThrough()) {
             return;
         }
         boolean ok = d.outcome() == Outcome.OK;
         boolean onTime = ok && d.tookNs() < q.aimAt - q.takenAt;
-        if (ok && !isCache(a.host)) {
+        if (!q.sized) {
+            (isCache(a.host) && d.note() == Note.HIT ? a.host.gate : fillGate).hint(onTime);
+        } else if (ok && !isCache(a.host)) {
             fillGate.answered(onTime, a.work, meanWork);
         } else if (ok && d.note() == Note.HIT) {
             a.host.gate.answered(onTime, a.work, meanWork);
@@ -876,9 +892,12 @@
     private void hedge(Req q) {
         Attempt a = q.attempts.get(q.attempts.size() - 1);
         boolean free = a.host.gate.late < LATE_SHARE && fillGate.late < LATE_SHARE;
+        if (overtaken(a) && free) {
+            leaveGates(a);
+        }
         if (ailing(a.host)) {
             launch(q);
-        } else if (q.sized && free && overtaken(a) && retries >= 1 && launch(q)) {
+        } else if (free && overtaken(a) && retries >= 1 && launch(q)) {
             retries--;
         }
     }
