--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -785,8 +785,10 @@
         }
         boolean ok = d.outcome() == Outcome.OK;
         boolean onTime = ok && d.tookNs() < q.aimAt - q.takenAt;
-        if (!q.sized) {
+        if (!q.sized && ok) {
             (isCache(a.host) && d.note() == Note.HIT ? a.host.gate : fillGate).hint(onTime);
+        } else if (!q.sized && now < q.aimAt) {
+            return;
         } else if (ok && !isCache(a.host)) {
             fillGate.answered(onTime, a.work, meanWork);
         } else if (ok && d.note() == Note.HIT) {
