--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -79,10 +79,11 @@
     private static final double LATE_SHARE = 0.15;
     private static final double LATE_WEIGHT = 0.1;
     /**
-     * The gates of all routers on one way are left open for this many mean requests together, and for dense
-     * worth by this much wider.
+     * Mean requests for which a gate of the own location is left open, and those for which the gates of all
+     * routers together are at the origin; dense worth finds each this much wider.
      */
-    private static final double GATE_LEAST = 4;
+    private static final double GATE_LEAST = 2;
+    private static final double ORIGIN_LEAST = 4;
     private static final double GATE_DENSE = 1.25;
     /** Share of requests taken to need a fill until it has been measured. */
     private static final double MISS_START = 0.3;
@@ -101,15 +102,13 @@
     private final Map<Long, Long> purgedObjects = new LinkedHashMap<>();
     private final Map<Integer, Long> purgedGroups = new LinkedHashMap<>();
     private final double[] classWork;
-    /** Routers of the own location: they share its caches and its way in. */
-    private final int seats;
     private Map<Long, Asked> listed = new HashMap<>();
     private LinkedHashMap<Long, Asked> counted = new LinkedHashMap<>();
     private long intervalEnd;
     private long firstListAt;
     private long lastToken;
     private double retries = SAVED_MAX;
-    private final Gate fillGate;
+    private final Gate fillGate = new Gate(FILL_LATE, GATE_LEAST);
     private final Gate originGate;
     private double missShare = MISS_START;
     private double parentMissShare = MISS_START;
@@ -148,15 +147,15 @@
      */
     private static final class Gate {
         final double borne;
-        final int routers;
+        final double floor;
         double load;
         double limit = Double.POSITIVE_INFINITY;
         double late;
         long restUntil;
 
-        Gate(double borne, int routers) {
+        Gate(double borne, double floor) {
             this.borne = borne;
-            this.routers = routers;
+            this.floor = floor;
         }
 
         /** A gate narrower than one request lets one in at a time and rests after it, to the same mean. */
@@ -182,7 +181,7 @@
         }
 
         void move(boolean onTime, double work, double meanWork) {
-            double least = GATE_LEAST * meanWork / routers;
+            double least = floor * meanWork;
             if (limit == Double.POSITIVE_INFINITY) {
                 limit = late > LATE_SHARE ? Math.max(least, load + work) : limit;
             } else if (load + work > limit / 2) {
@@ -195,7 +194,7 @@
     /** What this router knows of a host. */
     private static final class Host {
         HostEntry entry;
-        final Gate gate;
+        final Gate gate = new Gate(CACHE_LATE, GATE_LEAST);
         int attempts;
         double failShare;
         long trialAt;
@@ -205,10 +204,6 @@
         long unansweredSince;
         double budget;
         long budgetAt;
-
-        Host(int routers) {
-            gate = new Gate(CACHE_LATE, routers);
-        }
     }
 
     /** An attempt that is out. */
@@ -254,10 +249,7 @@
     /** An instance with its settings; nothing here is left to chance. */
     public Rules(Settings settings) {
         this.set = settings;
-        List<Integer> byZone = settings.seatsByZone();
-        seats = Math.max(1, settings.zone() < byZone.size() ? byZone.get(settings.zone()) : settings.routers());
-        fillGate = new Gate(FILL_LATE, seats);
-        originGate = new Gate(ORIGIN_LATE, Math.max(1, settings.routers()));
+        originGate = new Gate(ORIGIN_LATE, ORIGIN_LEAST / Math.max(1, settings.routers()));
         classWork = new double[settings.classes().size()];
         for (int i = 0; i < classWork.length; i++) {
             classWork[i] = settings.classes().get(i).aimNs();
@@ -785,10 +777,8 @@
         }
         boolean ok = d.outcome() == Outcome.OK;
         boolean onTime = ok && d.tookNs() < q.aimAt - q.takenAt;
-        if (!q.sized && ok) {
+        if (!q.sized) {
             (isCache(a.host) && d.note() == Note.HIT ? a.host.gate : fillGate).hint(onTime);
-        } else if (!q.sized && now < q.aimAt) {
-            return;
         } else if (ok && !isCache(a.host)) {
             fillGate.answered(onTime, a.work, meanWork);
         } else if (ok && d.note() == Note.HIT) {
@@ -959,7 +949,7 @@
             hosts.values().forEach(h -> h.entry = withState(h.entry, HostState.GONE));
         }
         for (HostEntry e : l.entries()) {
-            Host h = hosts.computeIfAbsent(e.host(), k -> new Host(seats));
+            Host h = hosts.computeIfAbsent(e.host(), k -> new Host());
             if (h.entry == null || h.entry.startedAtNs() != e.startedAtNs()) {
                 h.failShare = 0;
                 h.budget = 0;
