--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -83,7 +83,7 @@
      * routers together are at the origin; dense worth finds each this much wider.
      */
     private static final double GATE_LEAST = 2;
-    private static final double ORIGIN_LEAST = 4;
+    private static final double ORIGIN_LEAST = 16;
     private static final double GATE_DENSE = 1.25;
     /** Share of requests taken to need a fill until it has been measured. */
     private static final double MISS_START = 0.3;
@@ -727,7 +727,7 @@
             close(q);
         } else if (!q.closed) {
             q.mayHaveRun |= !d.outcome().provesNotRun;
-            again(q, d.outcome());
+            again(q, d);
         }
         forget(q);
     }
@@ -826,18 +826,22 @@
     }
 
     /** One more try where the class, the count, the clock and the budget allow it; else the end. */
-    private void again(Req q, Outcome outcome) {
+    private void again(Req q, Done d) {
         if (q.open > 0) {
             return;
         }
         Attempt last = q.attempts.get(q.attempts.size() - 1);
-        if (last.reach != Reach.ORIGIN && outcome == Outcome.MISS) {
+        if (last.reach != Reach.ORIGIN && d.outcome() == Outcome.MISS) {
             q.missed = true;
             q.parentLacks |= last.reach == Reach.PARENT;
             if (launch(q) || q.closed) {
                 return;
             }
         }
+        if (d.note() == Note.ORIGIN_FAILED) {
+            q.missed = true;
+            q.parentLacks = true;
+        }
         if (retries >= 1 && now < q.aimAt && mayResend(q)) {
             retries--;
             if (q.cls.goesThrough()) {
