--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -46,8 +46,12 @@
     private static final double FAIL_WEIGHT = 0.25;
     private static final double OK_WEIGHT = 0.1;
     private static final double AILING = 0.4;
-    /** An ailing host gets one trial request this often, ns, and the next as soon as one went well. */
+    /**
+     * An ailing host gets one trial request after this time, ns, after twice as long with each that failed,
+     * so often doubled at most, and the next as soon as one went well.
+     */
     private static final long TRIAL_NS = 1_000_000_000L;
+    private static final int TRIAL_DOUBLED = 4;
     /**
      * A host is silent with this many attempts out and nothing heard for this multiple of the longest aim.
      */
@@ -83,7 +87,7 @@
      * routers together are at the origin; dense worth finds each this much wider.
      */
     private static final double GATE_LEAST = 2;
-    private static final double ORIGIN_LEAST = 16;
+    private static final double ORIGIN_LEAST = 4;
     private static final double GATE_DENSE = 1.25;
     /** Share of requests taken to need a fill until it has been measured. */
     private static final double MISS_START = 0.3;
@@ -200,6 +204,7 @@
         long trialAt;
         long startedAt;
         int lost;
+        int trials;
         double score;
         long unansweredSince;
         double budget;
@@ -568,7 +573,8 @@
     private void heard(Host h, boolean well) {
         h.unansweredSince = now;
         h.failShare += well ? -OK_WEIGHT * h.failShare : FAIL_WEIGHT * (1 - h.failShare);
-        h.trialAt = well ? now : now + TRIAL_NS;
+        h.trials = well || !ailing(h) ? 0 : Math.min(h.trials + 1, TRIAL_DOUBLED);
+        h.trialAt = well ? now : now + (TRIAL_NS << h.trials);
     }
 
     /**
@@ -670,7 +676,7 @@
     private void spend(Host h, Req q) {
         h.budget -= cost(q);
         if (ailing(h)) {
-            h.trialAt = now + TRIAL_NS;
+            h.trialAt = now + (TRIAL_NS << h.trials);
         }
     }
 
@@ -727,7 +733,7 @@
             close(q);
         } else if (!q.closed) {
             q.mayHaveRun |= !d.outcome().provesNotRun;
-            again(q, d);
+            again(q, d.outcome());
         }
         forget(q);
     }
@@ -751,7 +757,7 @@
             }
             learnWork(q, a, d);
             if (filled) {
-                heard(a.source, true);
+                heard(a.source, d.note() == Note.FILLED_BY_ORIGIN || onTime(q, d));
             }
         } else if (sourceFailed(d.note())) {
             heard(a.host, true);
@@ -776,7 +782,7 @@
             return;
         }
         boolean ok = d.outcome() == Outcome.OK;
-        boolean onTime = ok && d.tookNs() < q.aimAt - q.takenAt;
+        boolean onTime = ok && onTime(q, d);
         if (!q.sized) {
             (isCache(a.host) && d.note() == Note.HIT ? a.host.gate : fillGate).hint(onTime);
         } else if (ok && !isCache(a.host)) {
@@ -803,6 +809,10 @@
         }
     }
 
+    private static boolean onTime(Req q, Done d) {
+        return d.tookNs() < q.aimAt - q.takenAt;
+    }
+
     private static boolean filled(Done d) {
         return d.note() == Note.FILLED || d.note() == Note.FILLED_BY_ORIGIN;
     }
@@ -826,22 +836,18 @@
     }
 
     /** One more try where the class, the count, the clock and the budget allow it; else the end. */
-    private void again(Req q, Done d) {
+    private void again(Req q, Outcome outcome) {
         if (q.open > 0) {
             return;
         }
         Attempt last = q.attempts.get(q.attempts.size() - 1);
-        if (last.reach != Reach.ORIGIN && d.outcome() == Outcome.MISS) {
+        if (last.reach != Reach.ORIGIN && outcome == Outcome.MISS) {
             q.missed = true;
             q.parentLacks |= last.reach == Reach.PARENT;
             if (launch(q) || q.closed) {
                 return;
             }
         }
-        if (d.note() == Note.ORIGIN_FAILED) {
-            q.missed = true;
-            q.parentLacks = true;
-        }
         if (retries >= 1 && now < q.aimAt && mayResend(q)) {
             retries--;
             if (q.cls.goesThrough()) {
