--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -783,6 +783,9 @@
         }
         boolean ok = d.outcome() == Outcome.OK;
         boolean onTime = ok && onTime(q, d);
+        if (!ok && aloneAiling(a.source)) {
+            return;
+        }
         if (!q.sized) {
             (isCache(a.host) && d.note() == Note.HIT ? a.host.gate : fillGate).hint(onTime);
         } else if (ok && !isCache(a.host)) {
@@ -809,6 +812,12 @@
         }
     }
 
+    /** A parent that ails while another is well: what fails behind it tells of neither link nor origin. */
+    private boolean aloneAiling(Host source) {
+        return isParent(source) && ailing(source) && (nearParents.stream().anyMatch(h -> !ailing(h))
+                || farParents.stream().anyMatch(h -> !ailing(h)));
+    }
+
     private static boolean onTime(Req q, Done d) {
         return d.tookNs() < q.aimAt - q.takenAt;
     }
