--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -89,6 +89,8 @@
     private static final double GATE_LEAST = 2;
     private static final double ORIGIN_LEAST = 4;
     private static final double GATE_DENSE = 1.25;
+    /** Share of answers that get lost from which on second copies go out for them. */
+    private static final double LOST_SHARE = 0.05;
     /** Share of requests taken to need a fill until it has been measured. */
     private static final double MISS_START = 0.3;
     /** Weight of one new sample in a running mean. */
@@ -116,6 +118,7 @@
     private final Gate originGate;
     private double missShare = MISS_START;
     private double parentMissShare = MISS_START;
+    private double lostShare;
     private double density;
     private double meanWork;
     private final Rate fills = new Rate();
@@ -718,7 +721,7 @@
             return;
         }
         Attempt a = q.attempts.get(d.attempt());
-        boolean lostAnswer = overtaken(a) && (d.outcome() == Outcome.TIMEOUT || d.outcome() == Outcome.CANCELLED);
+        boolean lostAnswer = lostAnswer(q, a, d);
         a.over = true;
         q.open--;
         a.host.attempts--;
@@ -738,6 +741,21 @@
         forget(q);
     }
 
+    /**
+     * An answer is lost if none came by the deadline though the host answered others since. Whether that is so
+     * here and now is learned from those, and from second copies that came before the first: a large or late
+     * answer looks the same until then.
+     */
+    private boolean lostAnswer(Req q, Attempt a, Done d) {
+        boolean overdue = overtaken(a) && now >= q.ask.deadlineNs() - LAST_TICKS * set.tickNs();
+        boolean lost = overdue && d.outcome() != Outcome.OK
+                || d.outcome() == Outcome.OK && q.attempts.get(0) != a && overtaken(q.attempts.get(0));
+        if (overdue || d.outcome() == Outcome.OK) {
+            lostShare += MEAN_WEIGHT * ((lost ? 1 : 0) - lostShare);
+        }
+        return overdue && lostShare > LOST_SHARE;
+    }
+
     private void leaveGates(Attempt a) {
         a.host.gate.left(a.gateWork, now);
         fillGate.left(a.fillWork, now);
@@ -783,9 +801,6 @@
         }
         boolean ok = d.outcome() == Outcome.OK;
         boolean onTime = ok && onTime(q, d);
-        if (!ok && aloneAiling(a.source)) {
-            return;
-        }
         if (!q.sized) {
             (isCache(a.host) && d.note() == Note.HIT ? a.host.gate : fillGate).hint(onTime);
         } else if (ok && !isCache(a.host)) {
@@ -812,12 +827,6 @@
         }
     }
 
-    /** A parent that ails while another is well: what fails behind it tells of neither link nor origin. */
-    private boolean aloneAiling(Host source) {
-        return isParent(source) && ailing(source) && (nearParents.stream().anyMatch(h -> !ailing(h))
-                || farParents.stream().anyMatch(h -> !ailing(h)));
-    }
-
     private static boolean onTime(Req q, Done d) {
         return d.tookNs() < q.aimAt - q.takenAt;
     }
@@ -902,7 +911,7 @@
      */
     private void hedge(Req q) {
         Attempt a = q.attempts.get(q.attempts.size() - 1);
-        boolean free = a.host.gate.late < LATE_SHARE && fillGate.late < LATE_SHARE;
+        boolean free = lostShare > LOST_SHARE && a.host.gate.late < LATE_SHARE && fillGate.late < LATE_SHARE;
         if (overtaken(a) && free) {
             leaveGates(a);
         }
