--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -178,13 +178,8 @@
         }
 
         void answered(boolean onTime, double work, double meanWork) {
-            hint(onTime);
-            move(onTime, work, meanWork);
-        }
-
-        /** An answer of unknown size may be late for its size alone, so it moves no limit. */
-        void hint(boolean onTime) {
             late += LATE_WEIGHT * ((onTime ? 0 : 1) - late);
+            move(onTime, work, meanWork);
         }
 
         void move(boolean onTime, double work, double meanWork) {
@@ -796,14 +791,12 @@
 
     /** A hit tells of the cache's own link, a parent's copy of the way in, the rest of the origin behind. */
     private void gates(Req q, Attempt a, Done d, boolean lostAnswer) {
-        if (q.cls.goesThrough()) {
+        if (q.cls.goesThrough() || !q.sized) {
             return;
         }
         boolean ok = d.outcome() == Outcome.OK;
         boolean onTime = ok && onTime(q, d);
-        if (!q.sized) {
-            (isCache(a.host) && d.note() == Note.HIT ? a.host.gate : fillGate).hint(onTime);
-        } else if (ok && !isCache(a.host)) {
+        if (ok && !isCache(a.host)) {
             fillGate.answered(onTime, a.work, meanWork);
         } else if (ok && d.note() == Note.HIT) {
             a.host.gate.answered(onTime, a.work, meanWork);
