--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -15,90 +15,78 @@
  * transfer.
  */
 public final class Rules {
-    /** Interval of the hot list: about as long as edge caches keep what nobody asks for again. */
+    // Interval of the hot list: about as long as edge caches keep what nobody asks for again.
     private static final long INTERVAL_NS = 10_000_000_000L;
-    /**
-     * Objects counted in one interval; the oldest goes first. Bounds memory, far above what is asked in 10 s.
-     */
+    // Objects counted in one interval; the oldest goes first. Bounds memory, far above what is asked in 10
+    // s. /
     private static final int COUNTED_MAX = 50_000;
-    /** Times asked in this interval above which an object is spread over two caches, and over three. */
+    // Times asked in this interval above which an object is spread over two caches, and over three.
     private static final int WIDE_AT = 20;
     private static final int WIDER_AT = 60;
-    /** Rank of a listed copy: the middle one, so that it pushes out leftovers and never what ranks higher. */
+    // Rank of a listed copy: the middle one, so that it pushes out leftovers and never what ranks higher.
     private static final int LISTED_RANK = 2;
-    /** Rank of an unlisted copy while there is no list yet: the lowest. */
+    // Rank of an unlisted copy while there is no list yet: the lowest.
     private static final int UNKNOWN_RANK = 1;
-    /** A cache is passed over when its outstanding work is more than this multiple of its peers' mean. */
+    // A cache is passed over when its outstanding work is more than this multiple of its peers' mean.
     private static final double LOAD_BOUND = 1.1;
-    /**
-     * ... and more than this many mean requests above it, so that small numbers don't move requests about.
-     */
+    // ... and more than this many mean requests above it, so that small numbers don't move requests about.
+    // /
     private static final double LOAD_SLACK = 2;
-    /** Share of the allowed multiple that all routers together plan to use on a cold host. */
+    // Share of the allowed multiple that all routers together plan to use on a cold host.
     private static final double COLD_MARGIN = 0.6;
-    /** A cold host is never planned above this multiple of what it can do: it would only answer late. */
+    // A cold host is never planned above this multiple of what it can do: it would only answer late.
     private static final double COLD_MOST = 1.3;
-    /** Span of the running rates, ns: longer than a burst, shorter than a start. */
+    // Span of the running rates, ns: longer than a burst, shorter than a start.
     private static final double RATE_SPAN_NS = 8e9;
-    /**
-     * Weights of one failure and of one success in a host's failure share, and the share at which it ails.
-     */
+    // Weights of one failure and of one success in a host's failure share, and the share at which it ails.
+    // /
     private static final double FAIL_WEIGHT = 0.25;
     private static final double OK_WEIGHT = 0.1;
     private static final double AILING = 0.4;
-    /**
-     * An ailing host gets one trial request after this time, ns, after twice as long with each that failed,
-     * so often doubled at most, and the next as soon as one went well.
-     */
+    // An ailing host gets one trial request after this time, ns, after twice as long with each that failed,
+    // so often doubled at most, and the next as soon as one went well. /
     private static final long TRIAL_NS = 1_000_000_000L;
     private static final int TRIAL_DOUBLED = 4;
-    /**
-     * A host is silent with this many attempts out and nothing heard for this multiple of the longest aim.
-     */
+    // A host is silent with this many attempts out and nothing heard for this multiple of the longest aim.
+    // /
     private static final int SILENT_ATTEMPTS = 3;
     private static final double SILENT_AIMS = 2;
-    /** A source is not there if it failed within this multiple of the time-out of a connection. */
+    // A source is not there if it failed within this multiple of the time-out of a connection.
     private static final double UNREACHED = 1.25;
-    /** Share of its aim after which an unanswered request is looked at again. */
+    // Share of its aim after which an unanswered request is looked at again.
     private static final double HEDGE_AT = 0.6;
-    /** Further tries are limited to this share of requests, with this much saved up. */
+    // Further tries are limited to this share of requests, with this much saved up.
     private static final double RETRY_SHARE = 0.2;
     private static final double SAVED_MAX = 20;
-    /** First wait before what only the origin can answer is tried there again, doubled each time, ns. */
-    private static final long RETRY_WAIT_NS = 20_000_000L;
-    /** Ticks before the client's deadline at which the last answer goes out. */
+    // Ticks before the client's deadline at which the last answer goes out.
     private static final int LAST_TICKS = 2;
-    /** Purges are heeded this much longer than the stated end, and cut copies this much younger, ns. */
+    // Purges are heeded this much longer than the stated end, and cut copies this much younger, ns.
     private static final long PURGE_MARGIN_NS = 1_000_000L;
-    /**
-     * Share of late answers at which a jammed way is held: its gate grows by this part of the work answered
-     * in time and shrinks by the rest of what was late. Origins are late by their own slowness too.
-     */
+    // Share of late answers at which a jammed way is held: its gate grows by this part of the work answered
+    // in time and shrinks by the rest of what was late. Origins are late by their own slowness too. /
     private static final double CACHE_LATE = 0.1;
     private static final double FILL_LATE = 0.2;
     private static final double ORIGIN_LATE = 0.3;
-    /** No one late answer takes more than this part of a gate: a large one must not shut it for all. */
+    // No one late answer takes more than this part of a gate: a large one must not shut it for all.
     private static final double GATE_CUT = 0.25;
-    /** Running share of late answers that starts a gate's limit, and the weight of one answer in it. */
+    // Running share of late answers that starts a gate's limit, and the weight of one answer in it.
     private static final double LATE_SHARE = 0.15;
     private static final double LATE_WEIGHT = 0.1;
-    /**
-     * Mean requests for which a gate of the own location is left open, and those for which the gates of all
-     * routers together are at the origin; dense worth finds each this much wider.
-     */
+    // Mean requests for which a gate of the own location is left open, and those for which the gates of all
+    // routers together are at the origin; dense worth finds each this much wider. /
     private static final double GATE_LEAST = 2;
     private static final double ORIGIN_LEAST = 4;
     private static final double GATE_DENSE = 1.25;
-    /** Share of answers that get lost from which on second copies go out for them. */
+    // Share of answers that get lost from which on second copies go out for them.
     private static final double LOST_SHARE = 0.05;
-    /** Share of requests taken to need a fill until it has been measured. */
+    // Share of requests taken to need a fill until it has been measured.
     private static final double MISS_START = 0.3;
-    /** Weight of one new sample in a running mean. */
+    // Weight of one new sample in a running mean.
     private static final double MEAN_WEIGHT = 0.05;
 
     private final Settings set;
     private final TreeMap<Long, Host> hosts = new TreeMap<>();
-    /** What the list names as ready, by what this router uses it for; made anew when the list changes. */
+    // What the list names as ready, by what this router uses it for; made anew when the list changes.
     private final List<Host> edges = new ArrayList<>();
     private final List<Host> nearParents = new ArrayList<>();
     private final List<Host> farParents = new ArrayList<>();
@@ -126,14 +114,14 @@
     private long now;
     private List<Action> out;
 
-    /** One object's count in an interval, and the least time in which a copy of it was sent. */
+    // One object's count in an interval, and the least time in which a copy of it was sent.
     private static final class Asked {
         int times;
         int lastPart = -1;
         double work;
     }
 
-    /** A running rate of work. */
+    // A running rate of work.
     private static final class Rate {
         double sum;
         long at;
@@ -148,10 +136,8 @@
         }
     }
 
-    /**
-     * How much work may be out at once on a way that several requests share. It guards against a jam,
-     * whatever its cause: once answers come late, more work only makes all of it late.
-     */
+    // How much work may be out at once on a way that several requests share. It guards against a jam,
+    // whatever its cause: once answers come late, more work only makes all of it late. /
     private static final class Gate {
         final double borne;
         final double floor;
@@ -165,7 +151,7 @@
             this.floor = floor;
         }
 
-        /** A gate narrower than one request lets one in at a time and rests after it, to the same mean. */
+        // A gate narrower than one request lets one in at a time and rests after it, to the same mean.
         boolean admits(double work, long now) {
             return load + work <= limit || load <= 0 && now >= restUntil;
         }
@@ -182,7 +168,7 @@
             move(onTime, work, meanWork);
         }
 
-        /** An answer of unknown size may be late for its size alone, so it moves no limit. */
+        // An answer of unknown size may be late for its size alone, so it moves no limit.
         void hint(boolean onTime) {
             late += LATE_WEIGHT * ((onTime ? 0 : 1) - late);
         }
@@ -198,7 +184,7 @@
         }
     }
 
-    /** What this router knows of a host. */
+    // What this router knows of a host.
     private static final class Host {
         HostEntry entry;
         final Gate gate = new Gate(CACHE_LATE, GATE_LEAST);
@@ -214,13 +200,12 @@
         long budgetAt;
     }
 
-    /** An attempt that is out. */
+    // An attempt that is out.
     private static final class Attempt {
         Host host;
         Host source;
         long sentAt;
         double work;
-        double gateWork;
         double fillWork;
         double originWork;
         Reach reach;
@@ -228,7 +213,7 @@
         boolean streams;
     }
 
-    /** A request this router has taken. */
+    // A request this router has taken.
     private static final class Req {
         Request ask;
         ClassSettings cls;
@@ -249,7 +234,7 @@
 
     private enum Reach { NONE, CACHE, PARENT, ORIGIN }
 
-    private enum Purpose { LAST, HEDGE, RETRY }
+    private enum Purpose { LAST, HEDGE }
 
     private record Alarm(long request, Purpose purpose) {
     }
@@ -302,10 +287,8 @@
 
     // ---- The hot list
 
-    /**
-     * At the interval's end what was counted becomes the list; a whole interval without events leaves it
-     * empty.
-     */
+    // At the interval's end what was counted becomes the list; a whole interval without events leaves it
+    // empty. /
     private void turnInterval() {
         if (now < intervalEnd) {
             return;
@@ -315,7 +298,7 @@
         intervalEnd += ((now - intervalEnd) / INTERVAL_NS + 1) * INTERVAL_NS;
     }
 
-    /** Counts an object. Its parts, asked in their order, are one asking; a part asked again is another. */
+    // Counts an object. Its parts, asked in their order, are one asking; a part asked again is another.
     private Asked count(Request r) {
         Asked a = counted.get(r.object());
         if (a == null) {
@@ -342,11 +325,9 @@
         return a.times > WIDER_AT ? 3 : a.times > WIDE_AT ? 2 : 1;
     }
 
-    /**
-     * Rank at which a copy is kept: the listed ones at the middle, others not at all. In the first interval
-     * after a start there is no list yet, so unlisted copies are kept at the lowest rank, where they push out
-     * no listed one.
-     */
+    // Rank at which a copy is kept: the listed ones at the middle, others not at all. In the first interval
+    // after a start there is no list yet, so unlisted copies are kept at the lowest rank, where they push
+    // out no listed one. /
     private int rankOf(Req q, boolean cached) {
         if (!cached) {
             return 0;
@@ -379,7 +360,7 @@
         }
     }
 
-    /** Told sizes count; else the least time seen for the object, else the class's mean. */
+    // Told sizes count; else the least time seen for the object, else the class's mean.
     private double workOf(Request r, Asked a) {
         if (r.sizeKb() > 0 && set.flowKbPerS() > 0) {
             return r.sizeKb() / set.flowKbPerS() * 1e9;
@@ -393,7 +374,7 @@
         out.add(new SetTimer(lastToken, Math.max(at, now + 1)));
     }
 
-    /** Sends a request where the design says, or gives it up. Returns whether it was sent. */
+    // Sends a request where the design says, or gives it up. Returns whether it was sent.
     private boolean launch(Req q) {
         if (q.attempts.size() >= set.limits().tries()) {
             return false;
@@ -423,10 +404,8 @@
         return false;
     }
 
-    /**
-     * How far a request may reach now. Where a way is jammed it goes only as far as the way is free, and
-     * further on a miss if there is room by then: hits are served however jammed the fills are.
-     */
+    // How far a request may reach now. Where a way is jammed it goes only as far as the way is free, and
+    // further on a miss if there is room by then: hits are served however jammed the fills are. /
     private Reach reach(Req q, Host target) {
         double work = q.work / wide(q);
         if (!isCache(target)) {
@@ -441,14 +420,14 @@
         return !fill ? Reach.CACHE : origin ? Reach.ORIGIN : Reach.PARENT;
     }
 
-    /** What is worth more for its work finds a gate wider. */
+    // What is worth more for its work finds a gate wider.
     private double wide(Req q) {
         return q.cls.worth() / q.work >= density ? GATE_DENSE : 1;
     }
 
     // ---- Which edge cache, which source
 
-    /** Caches of the own location by rendezvous hashing, each passed over if it ails, is cold or too busy. */
+    // Caches of the own location by rendezvous hashing, each passed over if it ails, is cold or too busy.
     private Host pickEdge(Req q) {
         long copy = mix(q.ask.object() * 31 + q.ask.part());
         double load = 0;
@@ -474,7 +453,7 @@
         return best != null ? best : leastLoaded(q);
     }
 
-    /** Where every cache is too busy or ails, the least busy one that the rules allow, tried ones last. */
+    // Where every cache is too busy or ails, the least busy one that the rules allow, tried ones last.
     private Host leastLoaded(Req q) {
         Host best = null;
         for (Host h : edges) {
@@ -489,7 +468,7 @@
         return h.gate.load / weight(h) + (tried(q, h) ? 1e15 : 0) + (ailing(h) ? 1e12 : 0);
     }
 
-    /** A parent of the own hub by hash, else of another, ailing ones last; the origin where none will do. */
+    // A parent of the own hub by hash, else of another, ailing ones last; the origin where none will do.
     private Host pickSource(Req q) {
         Host near = bestParent(q, nearParents);
         Host far = near == null || unwanted(q, near) > 0 ? bestParent(q, farParents) : null;
@@ -533,7 +512,7 @@
         return q.attempts.stream().anyMatch(a -> a.host == h && a.reach == Reach.ORIGIN && !overtaken(a));
     }
 
-    /** Its host has answered others since it was sent: what is missing is the answer, not the host. */
+    // Its host has answered others since it was sent: what is missing is the answer, not the host.
     private static boolean overtaken(Attempt a) {
         return !a.over && a.host.unansweredSince > a.sentAt;
     }
@@ -555,7 +534,7 @@
 
     // ---- Health: does a host answer, and does it answer well
 
-    /** Fit for ordinary requests; an ailing host gets one trial now and then. */
+    // Fit for ordinary requests; an ailing host gets one trial now and then.
     private boolean fit(Host h) {
         return !ailing(h) || now >= h.trialAt;
     }
@@ -564,7 +543,7 @@
         return h.failShare > AILING || silent(h);
     }
 
-    /** Several attempts out and not a word since the first of them: found before the list tells. */
+    // Several attempts out and not a word since the first of them: found before the list tells.
     private boolean silent(Host h) {
         return h.attempts >= SILENT_ATTEMPTS && now - h.unansweredSince > SILENT_AIMS * longestAim();
     }
@@ -580,12 +559,10 @@
         h.trialAt = well ? now : now + (TRIAL_NS << h.trials);
     }
 
-    /**
-     * Guards against pushing over a host that died and is back before the list tells: one that breaks off or
-     * turns away several connections running is taken for started anew from then on. Should also help where a
-     * list is lost. Harm: connections refused for want of room hold a warm host back for the length of a
-     * start.
-     */
+    // Guards against pushing over a host that died and is back before the list tells: one that breaks off
+    // or turns away several connections running is taken for started anew from then on. Should also help
+    // where a list is lost. Harm: connections refused for want of room hold a warm host back for the length
+    // of a start. /
     private void lost(Host h, boolean broke) {
         h.lost = broke ? h.lost + 1 : 0;
         if (h.lost >= SILENT_ATTEMPTS) {
@@ -596,7 +573,7 @@
 
     // ---- Cold hosts
 
-    /** Share of its capacity that a host surely has by now. */
+    // Share of its capacity that a host surely has by now.
     private double warmth(Host h) {
         boolean parent = isParent(h);
         double from = parent ? set.guards().parentColdFrom() : set.guards().coldFrom();
@@ -605,11 +582,9 @@
         return h.startedAt == 0 || age >= span ? 1 : from + (1 - from) * Math.max(0, age) / span;
     }
 
-    /**
-     * Guards against pushing over a cold host. Its budget grows with its warmth times what this router's own
-     * traffic gives a warm peer, which all routers together cannot send above a peer's capacity, times a part
-     * of the allowed multiple.
-     */
+    // Guards against pushing over a cold host. Its budget grows with its warmth times what this router's
+    // own traffic gives a warm peer, which all routers together cannot send above a peer's capacity, times
+    // a part of the allowed multiple. /
     private boolean affordable(Host h, Req q) {
         double warmth = warmth(h);
         if (warmth >= 1 || !isCache(h) && !isParent(h)) {
@@ -628,10 +603,8 @@
         return classWork[q.ask.cls()];
     }
 
-    /**
-     * Books work that a host took to the rate of one warm host of unit size. It is divided by the hosts that
-     * shared it then, not by those left now: when most of a location leaves, the rest has not grown.
-     */
+    // Books work that a host took to the rate of one warm host of unit size. It is divided by the hosts
+    // that shared it then, not by those left now: when most of a location leaves, the rest has not grown. /
     private void book(Host h, double work) {
         double size = 0;
         for (Host p : isParent(h) ? nearParents : edges) {
@@ -658,8 +631,7 @@
         if (target.attempts++ == 0) {
             target.unansweredSince = now;
         }
-        a.gateWork = a.work;
-        target.gate.load += a.gateWork;
+        target.gate.load += a.work;
         a.reach = reach;
         boolean cached = isCache(target) && !q.cls.goesThrough();
         a.fillWork = reach == Reach.CACHE || q.cls.goesThrough() ? 0
@@ -700,7 +672,7 @@
         return now > moment + set.guards().purgeDoneNs() + PURGE_MARGIN_NS;
     }
 
-    /** The oldest copy that will do: younger than the last purge; a copy's age only grows on the way. */
+    // The oldest copy that will do: younger than the last purge; a copy's age only grows on the way.
     private long oldest(Req q) {
         Long object = purgedObjects.get(q.ask.object());
         Long group = purgedGroups.get(q.ask.group());
@@ -741,11 +713,9 @@
         forget(q);
     }
 
-    /**
-     * An answer is lost if none came by the deadline though the host answered others since. Whether that is so
-     * here and now is learned from those, and from second copies that came before the first: a large or late
-     * answer looks the same until then.
-     */
+    // An answer is lost if none came by the deadline though the host answered others since. Whether that is
+    // so here and now is learned from those, and from second copies that came before the first: a large or
+    // late answer looks the same until then. /
     private boolean lostAnswer(Req q, Attempt a, Done d) {
         boolean overdue = overtaken(a) && now >= q.ask.deadlineNs() - LAST_TICKS * set.tickNs();
         boolean lost = overdue && d.outcome() != Outcome.OK
@@ -757,15 +727,15 @@
     }
 
     private void leaveGates(Attempt a) {
-        a.host.gate.left(a.gateWork, now);
+        a.host.gate.left(a.work, now);
         fillGate.left(a.fillWork, now);
         originGate.left(a.originWork, now);
-        a.gateWork = 0;
+        a.work = 0;
         a.fillWork = 0;
         a.originWork = 0;
     }
 
-    /** Who is to blame: the host that answered badly or not at all, or the source that its note names. */
+    // Who is to blame: the host that answered badly or not at all, or the source that its note names.
     private void learn(Req q, Attempt a, Done d) {
         boolean filled = filled(d);
         if (d.outcome() == Outcome.OK) {
@@ -773,7 +743,7 @@
             if (isCache(a.host)) {
                 book(a.host, cost(q));
             }
-            learnWork(q, a, d);
+            learnWork(q, d);
             if (filled) {
                 heard(a.source, d.note() == Note.FILLED_BY_ORIGIN || onTime(q, d));
             }
@@ -794,7 +764,7 @@
         }
     }
 
-    /** A hit tells of the cache's own link, a parent's copy of the way in, the rest of the origin behind. */
+    // A hit tells of the cache's own link, a parent's copy of the way in, the rest of the origin behind.
     private void gates(Req q, Attempt a, Done d, boolean lostAnswer) {
         if (q.cls.goesThrough()) {
             return;
@@ -802,23 +772,21 @@
         boolean ok = d.outcome() == Outcome.OK;
         boolean onTime = ok && onTime(q, d);
         if (!q.sized) {
-            if (ok || now >= q.aimAt) {
-                (isCache(a.host) && d.note() == Note.HIT ? a.host.gate : fillGate).hint(onTime);
-            }
+            (isCache(a.host) && d.note() == Note.HIT ? a.host.gate : fillGate).hint(onTime);
         } else if (ok && !isCache(a.host)) {
-            fillGate.answered(onTime, a.work, meanWork);
+            fillGate.answered(onTime, q.work, meanWork);
         } else if (ok && d.note() == Note.HIT) {
-            a.host.gate.answered(onTime, a.work, meanWork);
+            a.host.gate.answered(onTime, q.work, meanWork);
         } else if (ok && d.note() == Note.FILLED) {
-            fillGate.answered(onTime, a.work, meanWork);
+            fillGate.answered(onTime, q.work, meanWork);
         } else if (ok && d.note() == Note.FILLED_BY_ORIGIN || sourceFailed(d.note()) && !unreached(d)) {
-            originGate.answered(onTime, a.work, meanWork);
+            originGate.answered(onTime, q.work, meanWork);
         } else if (!ok && now >= q.aimAt) {
             Gate gate = a.reach == Reach.CACHE ? a.host.gate : fillGate;
             if (!lostAnswer) {
-                gate.answered(false, a.work, meanWork);
+                gate.answered(false, q.work, meanWork);
             } else if (gate.late > LATE_SHARE) {
-                gate.move(false, a.work, meanWork);
+                gate.move(false, q.work, meanWork);
             }
         }
         if (ok && a.reach == Reach.ORIGIN && isCache(a.host) && !q.missed) {
@@ -837,7 +805,7 @@
         return d.note() == Note.FILLED || d.note() == Note.FILLED_BY_ORIGIN;
     }
 
-    /** A source that broke off within the time of a connection was not there; a slow one breaks off later. */
+    // A source that broke off within the time of a connection was not there; a slow one breaks off later.
     private boolean unreached(Done d) {
         return d.note() == Note.SOURCE_BROKE
                 && d.sourceWaitNs() < UNREACHED * set.limits().connectTimeoutNs();
@@ -847,15 +815,15 @@
         return note == Note.SOURCE_REFUSED || note == Note.SOURCE_BROKE || note == Note.ORIGIN_FAILED;
     }
 
-    private void learnWork(Req q, Attempt a, Done d) {
-        double work = q.ask.sizeKb() > 0 ? a.work : d.tookNs();
+    private void learnWork(Req q, Done d) {
+        double work = q.ask.sizeKb() > 0 ? q.work : d.tookNs();
         if (q.ask.sizeKb() > 0 || d.note() == Note.HIT) {
             classWork[q.ask.cls()] += MEAN_WEIGHT * (work - classWork[q.ask.cls()]);
             q.asked.work = q.asked.work == 0 ? work : Math.min(q.asked.work, work);
         }
     }
 
-    /** One more try where the class, the count, the clock and the budget allow it; else the end. */
+    // One more try where the class, the count, the clock and the budget allow it; else the end.
     private void again(Req q, Outcome outcome) {
         if (q.open > 0) {
             return;
@@ -870,10 +838,6 @@
         }
         if (retries >= 1 && now < q.aimAt && mayResend(q)) {
             retries--;
-            if (q.cls.goesThrough()) {
-                setAlarm(now + (RETRY_WAIT_NS << q.attempts.size()), q.ask.id(), Purpose.RETRY);
-                return;
-            }
             if (launch(q) || q.closed) {
                 return;
             }
@@ -881,7 +845,7 @@
         giveUp(q);
     }
 
-    /** Rule 2: a keyed request only inside its group and window; an unsafe one only if it never ran. */
+    // Rule 2: a keyed request only inside its group and window; an unsafe one only if it never ran.
     private boolean mayResend(Req q) {
         return switch (q.cls.effect()) {
             case SAFE -> true;
@@ -898,19 +862,14 @@
         }
         if (alarm.purpose() == Purpose.LAST) {
             giveUp(q);
-        } else if (alarm.purpose() == Purpose.RETRY) {
-            if (q.open == 0 && !(mayResend(q) && launch(q)) && !q.closed) {
-                giveUp(q);
-            }
         } else if (q.open == 1 && !q.attempts.isEmpty()) {
             hedge(q);
         }
     }
 
-    /**
-     * A second copy of a safe request whose host ails or has gone silent by now, or whose answer was lost: its
-     * host has answered others since. Where answers are late none is sent: it would take a jammed link twice.
-     */
+    // A second copy of a safe request whose host ails or has gone silent by now, or whose answer was lost:
+    // its host has answered others since. Where answers are late none is sent: it would take a jammed link
+    // twice. /
     private void hedge(Req q) {
         Attempt a = q.attempts.get(q.attempts.size() - 1);
         boolean free = lostShare > LOST_SHARE && a.host.gate.late < LATE_SHARE && fillGate.late < LATE_SHARE;
@@ -926,19 +885,17 @@
 
     // ---- The end of a request
 
-    /** Answered at once: refused where that is harmless, with a hint when to come back, else failed. */
+    // Answered at once: refused where that is harmless, with a hint when to come back, else failed.
     private void giveUp(Req q) {
         boolean harmless = q.cls.effect() == Effect.SAFE || !q.mayHaveRun && q.open == 0
                 || q.cls.effect() == Effect.KEYED && q.cls.keyGroup() == Group.ALL;
         out.add(harmless ? new Refuse(q.ask.id(), set.limits().retryAfter()
                 ? set.limits().maxRetryAfterNs() : 0) : new Fail(q.ask.id()));
-        if (q.asked.times > 0) {
-            q.asked.times--;
-        }
+        q.asked.times = Math.max(0, q.asked.times - 1);
         close(q);
     }
 
-    /** A started stream is the client's: it is the answer, and its attempt is not called off. */
+    // A started stream is the client's: it is the answer, and its attempt is not called off.
     private void stream(Streaming e) {
         Req q = requests.get(e.id());
         if (q != null && e.attempt() < q.attempts.size()) {
