--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -2,6 +2,7 @@
 
 import brooklock.RouterApi.*;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,7 +19,7 @@
     // Interval of the hot list: about as long as edge caches keep what nobody asks for again.
     private static final long INTERVAL_NS = 10_000_000_000L;
     // Objects counted in one interval; the oldest goes first. Bounds memory, far above what is asked in 10
-    // s. /
+    // s.
     private static final int COUNTED_MAX = 50_000;
     // Times asked in this interval above which an object is spread over two caches, and over three.
     private static final int WIDE_AT = 20;
@@ -44,7 +45,7 @@
     private static final double OK_WEIGHT = 0.1;
     private static final double AILING = 0.4;
     // An ailing host gets one trial request after this time, ns, after twice as long with each that failed,
-    // so often doubled at most, and the next as soon as one went well. /
+    // so often doubled at most, and the next as soon as one went well.
     private static final long TRIAL_NS = 1_000_000_000L;
     private static final int TRIAL_DOUBLED = 4;
     // A host is silent with this many attempts out and nothing heard for this multiple of the longest aim.
@@ -63,7 +64,7 @@
     // Purges are heeded this much longer than the stated end, and cut copies this much younger, ns.
     private static final long PURGE_MARGIN_NS = 1_000_000L;
     // Share of late answers at which a jammed way is held: its gate grows by this part of the work answered
-    // in time and shrinks by the rest of what was late. Origins are late by their own slowness too. /
+    // in time and shrinks by the rest of what was late. Origins are late by their own slowness too.
     private static final double CACHE_LATE = 0.1;
     private static final double FILL_LATE = 0.2;
     private static final double ORIGIN_LATE = 0.3;
@@ -73,10 +74,9 @@
     private static final double LATE_SHARE = 0.15;
     private static final double LATE_WEIGHT = 0.1;
     // Mean requests for which a gate of the own location is left open, and those for which the gates of all
-    // routers together are at the origin; dense worth finds each this much wider. /
+    // routers together are at the origin.
     private static final double GATE_LEAST = 2;
     private static final double ORIGIN_LEAST = 4;
-    private static final double GATE_DENSE = 1.25;
     // Share of answers that get lost from which on second copies go out for them.
     private static final double LOST_SHARE = 0.05;
     // Share of requests taken to need a fill until it has been measured.
@@ -96,6 +96,7 @@
     private final Map<Long, Long> purgedObjects = new LinkedHashMap<>();
     private final Map<Integer, Long> purgedGroups = new LinkedHashMap<>();
     private final double[] classWork;
+    private double longestAim;
     private Map<Long, Asked> listed = new HashMap<>();
     private LinkedHashMap<Long, Asked> counted = new LinkedHashMap<>();
     private long intervalEnd;
@@ -107,7 +108,6 @@
     private double missShare = MISS_START;
     private double parentMissShare = MISS_START;
     private double lostShare;
-    private double density;
     private double meanWork;
     private final Rate fills = new Rate();
     private final Rate served = new Rate();
@@ -137,7 +137,7 @@
     }
 
     // How much work may be out at once on a way that several requests share. It guards against a jam,
-    // whatever its cause: once answers come late, more work only makes all of it late. /
+    // whatever its cause: once answers come late, more work only makes all of it late.
     private static final class Gate {
         final double borne;
         final double floor;
@@ -163,17 +163,13 @@
             }
         }
 
-        void answered(boolean onTime, double work, double meanWork) {
-            hint(onTime);
-            move(onTime, work, meanWork);
-        }
-
         // An answer of unknown size may be late for its size alone, so it moves no limit.
         void hint(boolean onTime) {
             late += LATE_WEIGHT * ((onTime ? 0 : 1) - late);
         }
 
-        void move(boolean onTime, double work, double meanWork) {
+        void answered(boolean onTime, double work, double meanWork) {
+            hint(onTime);
             double least = floor * meanWork;
             if (limit == Double.POSITIVE_INFINITY) {
                 limit = late > LATE_SHARE ? Math.max(least, load + work) : limit;
@@ -187,6 +183,7 @@
     // What this router knows of a host.
     private static final class Host {
         HostEntry entry;
+        HostState state;
         final Gate gate = new Gate(CACHE_LATE, GATE_LEAST);
         int attempts;
         double failShare;
@@ -246,6 +243,7 @@
         classWork = new double[settings.classes().size()];
         for (int i = 0; i < classWork.length; i++) {
             classWork[i] = settings.classes().get(i).aimNs();
+            longestAim = Math.max(longestAim, classWork[i]);
         }
     }
 
@@ -288,7 +286,7 @@
     // ---- The hot list
 
     // At the interval's end what was counted becomes the list; a whole interval without events leaves it
-    // empty. /
+    // empty.
     private void turnInterval() {
         if (now < intervalEnd) {
             return;
@@ -317,17 +315,13 @@
         return a;
     }
 
-    private boolean isHot(Request r, Asked a) {
-        return listed.containsKey(r.object()) || a.times > 1;
-    }
-
     private static int width(Asked a) {
         return a.times > WIDER_AT ? 3 : a.times > WIDE_AT ? 2 : 1;
     }
 
     // Rank at which a copy is kept: the listed ones at the middle, others not at all. In the first interval
     // after a start there is no list yet, so unlisted copies are kept at the lowest rank, where they push
-    // out no listed one. /
+    // out no listed one.
     private int rankOf(Req q, boolean cached) {
         if (!cached) {
             return 0;
@@ -342,14 +336,13 @@
         q.ask = r;
         q.cls = set.classes().get(r.cls());
         q.asked = count(r);
-        q.hot = isHot(r, q.asked);
+        q.hot = listed.containsKey(r.object()) || q.asked.times > 1;
         q.takenAt = now;
         q.sized = r.sizeKb() > 0 || q.asked.work > 0;
         q.work = workOf(r, q.asked);
         q.aimAt = now + q.cls.aimNs() + (long) (q.cls.aimStretch() * q.work);
         requests.put(r.id(), q);
         if (!q.cls.goesThrough()) {
-            density += MEAN_WEIGHT * (q.cls.worth() / q.work - density);
             meanWork += (meanWork == 0 ? 1 : MEAN_WEIGHT) * (q.work - meanWork);
         }
         retries = Math.min(SAVED_MAX, retries + RETRY_SHARE);
@@ -405,9 +398,9 @@
     }
 
     // How far a request may reach now. Where a way is jammed it goes only as far as the way is free, and
-    // further on a miss if there is room by then: hits are served however jammed the fills are. /
+    // further on a miss if there is room by then: hits are served however jammed the fills are.
     private Reach reach(Req q, Host target) {
-        double work = q.work / wide(q);
+        double work = q.work;
         if (!isCache(target)) {
             return fillGate.admits(work, now) ? Reach.ORIGIN : Reach.NONE;
         }
@@ -420,11 +413,6 @@
         return !fill ? Reach.CACHE : origin ? Reach.ORIGIN : Reach.PARENT;
     }
 
-    // What is worth more for its work finds a gate wider.
-    private double wide(Req q) {
-        return q.cls.worth() / q.work >= density ? GATE_DENSE : 1;
-    }
-
     // ---- Which edge cache, which source
 
     // Caches of the own location by rendezvous hashing, each passed over if it ails, is cold or too busy.
@@ -437,7 +425,7 @@
             load += h.gate.load;
             weight += weight(h);
         }
-        edges.sort((a, b) -> Double.compare(b.score, a.score));
+        edges.sort(Comparator.comparingDouble(h -> -h.score));
         double bound = LOAD_BOUND * load / weight + LOAD_SLACK * meanWork / weight * edges.size();
         Host best = null;
         int left = width(q.asked);
@@ -450,18 +438,9 @@
                 break;
             }
         }
-        return best != null ? best : leastLoaded(q);
-    }
-
-    // Where every cache is too busy or ails, the least busy one that the rules allow, tried ones last.
-    private Host leastLoaded(Req q) {
-        Host best = null;
-        for (Host h : edges) {
-            if (affordable(h, q) && (best == null || rank(q, h) < rank(q, best))) {
-                best = h;
-            }
-        }
-        return best;
+        // Where every cache is too busy or ails: the least busy one that the rules allow, tried ones last.
+        return best != null ? best : edges.stream().filter(h -> affordable(h, q))
+                .min(Comparator.comparingDouble(h -> rank(q, h))).orElse(null);
     }
 
     private double rank(Req q, Host h) {
@@ -478,14 +457,8 @@
 
     private Host bestParent(Req q, List<Host> parents) {
         long copy = mix(q.ask.object() * 31 + q.ask.part());
-        Host best = null;
-        for (Host h : parents) {
-            h.score = score(copy, h) - 1e6 * unwanted(q, h);
-            if (affordable(h, q) && (best == null || h.score > best.score)) {
-                best = h;
-            }
-        }
-        return best;
+        return parents.stream().filter(h -> affordable(h, q))
+                .max(Comparator.comparingDouble(h -> score(copy, h) - 1e6 * unwanted(q, h))).orElse(null);
     }
 
     private int unwanted(Req q, Host h) {
@@ -504,8 +477,8 @@
         return set.weighted() && h.entry.weight() > 0 ? h.entry.weight() : 1;
     }
 
-    private boolean ready(Host h) {
-        return h.entry.state() == HostState.READY;
+    private static boolean ready(Host h) {
+        return h.state == HostState.READY;
     }
 
     private static boolean tried(Req q, Host h) {
@@ -545,11 +518,7 @@
 
     // Several attempts out and not a word since the first of them: found before the list tells.
     private boolean silent(Host h) {
-        return h.attempts >= SILENT_ATTEMPTS && now - h.unansweredSince > SILENT_AIMS * longestAim();
-    }
-
-    private long longestAim() {
-        return set.classes().stream().mapToLong(ClassSettings::aimNs).max().orElse(0);
+        return h.attempts >= SILENT_ATTEMPTS && now - h.unansweredSince > SILENT_AIMS * longestAim;
     }
 
     private void heard(Host h, boolean well) {
@@ -562,7 +531,7 @@
     // Guards against pushing over a host that died and is back before the list tells: one that breaks off
     // or turns away several connections running is taken for started anew from then on. Should also help
     // where a list is lost. Harm: connections refused for want of room hold a warm host back for the length
-    // of a start. /
+    // of a start.
     private void lost(Host h, boolean broke) {
         h.lost = broke ? h.lost + 1 : 0;
         if (h.lost >= SILENT_ATTEMPTS) {
@@ -584,7 +553,7 @@
 
     // Guards against pushing over a cold host. Its budget grows with its warmth times what this router's
     // own traffic gives a warm peer, which all routers together cannot send above a peer's capacity, times
-    // a part of the allowed multiple. /
+    // a part of the allowed multiple.
     private boolean affordable(Host h, Req q) {
         double warmth = warmth(h);
         if (warmth >= 1 || !isCache(h) && !isParent(h)) {
@@ -604,7 +573,7 @@
     }
 
     // Books work that a host took to the rate of one warm host of unit size. It is divided by the hosts
-    // that shared it then, not by those left now: when most of a location leaves, the rest has not grown. /
+    // that shared it then, not by those left now: when most of a location leaves, the rest has not grown.
     private void book(Host h, double work) {
         double size = 0;
         for (Host p : isParent(h) ? nearParents : edges) {
@@ -715,7 +684,7 @@
 
     // An answer is lost if none came by the deadline though the host answered others since. Whether that is
     // so here and now is learned from those, and from second copies that came before the first: a large or
-    // late answer looks the same until then. /
+    // late answer looks the same until then.
     private boolean lostAnswer(Req q, Attempt a, Done d) {
         boolean overdue = overtaken(a) && now >= q.ask.deadlineNs() - LAST_TICKS * set.tickNs();
         boolean lost = overdue && d.outcome() != Outcome.OK
@@ -781,18 +750,14 @@
             fillGate.answered(onTime, q.work, meanWork);
         } else if (ok && d.note() == Note.FILLED_BY_ORIGIN || sourceFailed(d.note()) && !unreached(d)) {
             originGate.answered(onTime, q.work, meanWork);
-        } else if (!ok && now >= q.aimAt) {
-            Gate gate = a.reach == Reach.CACHE ? a.host.gate : fillGate;
-            if (!lostAnswer) {
-                gate.answered(false, q.work, meanWork);
-            } else if (gate.late > LATE_SHARE) {
-                gate.move(false, q.work, meanWork);
-            }
+        } else if (!ok && now >= q.aimAt && !lostAnswer) {
+            (a.reach == Reach.CACHE ? a.host.gate : fillGate).answered(false, q.work, meanWork);
         }
-        if (ok && a.reach == Reach.ORIGIN && isCache(a.host) && !q.missed) {
+        boolean open = ok && a.reach == Reach.ORIGIN && isCache(a.host);
+        if (open && !q.missed) {
             missShare += MEAN_WEIGHT * ((d.note() == Note.HIT ? 0 : 1) - missShare);
         }
-        if (ok && a.reach == Reach.ORIGIN && isCache(a.host) && !q.parentLacks && d.note() != Note.HIT) {
+        if (open && !q.parentLacks && d.note() != Note.HIT) {
             parentMissShare += MEAN_WEIGHT * ((d.note() == Note.FILLED_BY_ORIGIN ? 1 : 0) - parentMissShare);
         }
     }
@@ -869,7 +834,7 @@
 
     // A second copy of a safe request whose host ails or has gone silent by now, or whose answer was lost:
     // its host has answered others since. Where answers are late none is sent: it would take a jammed link
-    // twice. /
+    // twice.
     private void hedge(Req q) {
         Attempt a = q.attempts.get(q.attempts.size() - 1);
         boolean free = lostShare > LOST_SHARE && a.host.gate.late < LATE_SHARE && fillGate.late < LATE_SHARE;
@@ -933,7 +898,7 @@
             return;
         }
         if (l.kind() != ListKind.DELTA) {
-            hosts.values().forEach(h -> h.entry = withState(h.entry, HostState.GONE));
+            hosts.values().forEach(h -> h.state = HostState.GONE);
         }
         for (HostEntry e : l.entries()) {
             Host h = hosts.computeIfAbsent(e.host(), k -> new Host());
@@ -945,8 +910,9 @@
             }
             h.startedAt = Math.max(h.startedAt, e.startedAtNs());
             h.entry = e;
+            h.state = e.state();
         }
-        hosts.values().removeIf(h -> h.entry.state() == HostState.GONE && h.attempts == 0);
+        hosts.values().removeIf(h -> h.state == HostState.GONE && h.attempts == 0);
         sortOut();
     }
 
@@ -969,8 +935,4 @@
             }
         }
     }
-
-    private static HostEntry withState(HostEntry e, HostState s) {
-        return new HostEntry(e.host(), e.zone(), e.kind(), e.cell(), s, e.weight(), e.startedAtNs());
-    }
 }
--- a/src/test/java/brooklock/Rig.java
+++ b/src/test/java/brooklock/Rig.java
@@ -50,6 +50,10 @@
     }
 
     static Settings settings(boolean duplicates, Group group) {
+        return settings(duplicates, group, 4);
+    }
+
+    static Settings settings(boolean duplicates, Group group, int routers) {
         List<ClassSettings> classes = List.of(
                 new ClassSettings("page", 300 * MS, 2, 3000 * MS, 1, 0.2, Effect.SAFE, Group.ALL, 0, false, false,
                         false, 8000 * MS, 0, 0.7),
@@ -60,7 +64,7 @@
         return new Settings(classes, new Limits(true, duplicates, true, false, 6, 500 * MS, 400 * MS),
                 new Guards(8 * MS, 1000 * MS, 0.2, 15_000 * MS, 2, 2000 * MS, 0.06, 20_000 * MS, 2, 500 * MS,
                         6000 * MS),
-                new Prices(0.05, 0.05, 0.05, 0.01, 0.04), 0, 4, 1, List.of(0, 0, 0), List.of(0, 2, 2), PARENT, ORIGIN,
+                new Prices(0.05, 0.05, 0.05, 0.01, 0.04), 0, routers, 1, List.of(0, 0, 0), List.of(0, 2, 2), PARENT, ORIGIN,
                 false, false, 0, true, true, Siblings.NONE, 5000, 2 * MS, List.of());
     }
 
--- a/src/test/java/brooklock/RulesTest.java
+++ b/src/test/java/brooklock/RulesTest.java
@@ -187,10 +187,11 @@
     void aKeyedRequestIsNotRepeatedPastItsWindow() {
         Rig rig = new Rig().withFleet();
         Get g = rig.ask(KEYED, 42);
-        List<Action> out = rig.done(g, Outcome.ERROR, Note.NONE, 5);
-        SetTimer wait = Rig.all(out, SetTimer.class).get(0);
-        rig.now += 2100 * MS;
-        out = rig.on(new RouterApi.TimerFired(wait.token()));
+        rig.now += 100 * MS;
+        Get again = Rig.get(rig.done(g, Outcome.ERROR, Note.NONE, 100));
+        assertNotNull(again, "inside its window");
+        rig.now += 2000 * MS;
+        List<Action> out = rig.done(again, Outcome.ERROR, Note.NONE, 2000);
         assertNull(Rig.get(out));
         assertEquals(1, Rig.all(out, Refuse.class).size(), "the group is all: a refusal is allowed");
     }
@@ -490,6 +491,124 @@
         }
     }
 
+    // ---- Grown fleets
+
+    @Test
+    void lostAnswersAreAskedAgainOfTheSameCacheOnceTheyAreSeenToGetLost() {
+        Rig rig = new Rig().withFleet();
+        assertNull(askedAgain(rig, 500), "nothing has been lost so far");
+        for (int i = 0; i < 8; i++) {
+            Request lost = rig.request(PAGE, 100 + i);
+            List<Action> out = rig.on(lost);
+            long host = Rig.get(out).host();
+            rig.now += 20 * MS;
+            assertEquals(host, rig.hit(PAGE, 100 + i).host());
+            rig.now = Rig.all(out, SetTimer.class).get(0).atNs();
+            rig.on(new RouterApi.TimerFired(Rig.all(out, SetTimer.class).get(0).token()));
+            rig.on(new RouterApi.Done(lost.id(), 0, host, Outcome.CANCELLED, Note.NONE, 2900 * MS, 0, true,
+                    List.of()));
+        }
+        assertNotNull(askedAgain(rig, 600));
+        assertNotNull(rig.ask(PAGE, 700), "what is lost shuts no gate");
+    }
+
+    /** Asks, has the same cache answer another, and returns the second copy that the first one's delay brings. */
+    private static Get askedAgain(Rig rig, long object) {
+        List<Action> out = rig.on(rig.request(PAGE, object));
+        rig.now += 20 * MS;
+        rig.hit(PAGE, object);
+        SetTimer look = Rig.all(out, SetTimer.class).get(1);
+        rig.now = look.atNs();
+        Get second = Rig.get(rig.on(new RouterApi.TimerFired(look.token())));
+        assertTrue(second == null || second.host() == Rig.get(out).host());
+        return second;
+    }
+
+    @Test
+    void theFloorsOfManyRoutersAtTheOriginAddUpToFewRequests() {
+        assertFalse(heldOnlyAfterOriginFailures(4));
+        assertTrue(heldOnlyAfterOriginFailures(400));
+    }
+
+    private static boolean heldOnlyAfterOriginFailures(int routers) {
+        Rig rig = new Rig(Rig.settings(true, Group.ALL, routers)).withFleet();
+        for (int i = 0; i < 60; i++) {
+            rig.now += 100 * MS;
+            Get g = rig.ask(PAGE, 1000 + i);
+            while (g != null) {
+                boolean looked = g.heldOnly() || g.source() == g.host();
+                g = Rig.get(rig.done(g, looked ? Outcome.MISS : Outcome.FULL,
+                        looked ? Note.NONE : Note.ORIGIN_FAILED, 50));
+            }
+        }
+        rig.now += MS;
+        return rig.ask(PAGE, 5000).heldOnly();
+    }
+
+    @Test
+    void aParentThatKeepsFailingIsTriedMoreAndMoreSeldom() {
+        Rig rig = new Rig().withFleet();
+        int late = 0;
+        for (int i = 0; i < 120; i++) {
+            rig.now += 500 * MS;
+            Get g = rig.ask(PAGE, 2000 + i);
+            if (g.source() == 801) {
+                late += i >= 40 ? 1 : 0;
+                g = Rig.get(rig.on(new RouterApi.Done(g.id(), 0, g.host(), Outcome.ERROR, Note.SOURCE_BROKE, 600 * MS,
+                        600 * MS, false, List.of())));
+            }
+            if (g != null) {
+                rig.done(g, Outcome.OK, Note.FILLED, 20);
+            }
+        }
+        assertTrue(late >= 1 && late <= 6, "trials in 40 s: " + late);
+    }
+
+    @Test
+    void aParentThatGrowsSlowIsLeftBeforeItFails() {
+        Rig rig = new Rig().withFleet();
+        int late = 0;
+        for (int i = 0; i < 60; i++) {
+            rig.now += 500 * MS;
+            Get g = rig.ask(PAGE, 2000 + i);
+            late += i >= 20 && g.source() == 801 ? 1 : 0;
+            rig.done(g, Outcome.OK, Note.FILLED, g.source() == 801 ? 2000 : 20);
+        }
+        assertTrue(late <= 6, "fills from the slow one in 20 s: " + late);
+    }
+
+    @Test
+    void theColdBudgetsOfManyRoutersHoldInSumForOneCacheAndForARack() {
+        for (int struck = 1; struck <= 3; struck += 2) {
+            List<Rig> routers = new ArrayList<>();
+            for (int i = 0; i < 100; i++) {
+                routers.add(new Rig().withFleet());
+            }
+            int warm = sentTo(routers, 11, 15, 20, 0) / 4 / 20;
+            for (Rig r : routers) {
+                for (long h = 15 - struck; h <= 14; h++) {
+                    r.change(Rig.host(h, 1, Rig.CACHE, HostState.READY, r.now));
+                }
+            }
+            int cold = sentTo(routers, 15 - struck, 15, 4, 100) / struck;
+            assertTrue(cold <= 2 * 4 * warm * (0.2 + 0.8 * 4 / 15), struck + " struck: " + cold + " of " + warm);
+            assertTrue(cold > 0, "they are used as far as the budget goes");
+        }
+    }
+
+    /** Each router asks twice a second for so long, answered at once; counts what goes to the hosts named. */
+    private static int sentTo(List<Rig> routers, long from, long to, int seconds, int offset) {
+        int count = 0;
+        for (int i = 0; i < 2 * seconds; i++) {
+            for (Rig r : routers) {
+                r.now += 500 * MS;
+                Get g = r.hit(PAGE, 10_000 + 7919L * routers.indexOf(r) + offset + i);
+                count += g != null && g.host() >= from && g.host() < to ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
     @Test
     void theModuleFitsTheReview() throws Exception {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/brooklock/Rules.java"));
