--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -735,12 +735,11 @@
 
     // A hit tells of the cache's own link, a parent's copy of the way in, the rest of the origin behind.
     private void gates(Req q, Attempt a, Done d, boolean lostAnswer) {
-        if (q.cls.goesThrough()) {
-            return;
-        }
         boolean ok = d.outcome() == Outcome.OK;
         boolean onTime = ok && onTime(q, d);
-        if (!q.sized) {
+        if (q.cls.goesThrough()) {
+            originGate.answered(onTime, meanWork, meanWork);
+        } else if (!q.sized) {
             (isCache(a.host) && d.note() == Note.HIT ? a.host.gate : fillGate).hint(onTime);
         } else if (ok && !isCache(a.host)) {
             fillGate.answered(onTime, q.work, meanWork);
