--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -407,6 +407,7 @@
         boolean fill = fillGate.admits(work * (q.missed ? 1 : missShare), now);
         boolean origin = originGate.admits(work * (q.parentLacks ? 1 : q.missed ? parentMissShare
                 : missShare * parentMissShare), now);
+        origin &= q.hot || originGate.limit >= work;
         if (!target.gate.admits(work, now) || q.missed && !fill || q.parentLacks && !origin) {
             return Reach.NONE;
         }
--- a/src/test/java/brooklock/RulesTest.java
+++ b/src/test/java/brooklock/RulesTest.java
@@ -531,6 +531,12 @@
     }
 
     private static boolean heldOnlyAfterOriginFailures(int routers) {
+        Rig rig = failedOrigin(routers);
+        rig.now += MS;
+        return rig.ask(PAGE, 5000).heldOnly();
+    }
+
+    private static Rig failedOrigin(int routers) {
         Rig rig = new Rig(Rig.settings(true, Group.ALL, routers)).withFleet();
         for (int i = 0; i < 60; i++) {
             rig.now += 100 * MS;
@@ -541,8 +547,16 @@
                         looked ? Note.NONE : Note.ORIGIN_FAILED, 50));
             }
         }
-        rig.now += MS;
-        return rig.ask(PAGE, 5000).heldOnly();
+        return rig;
+    }
+
+    @Test
+    void onlyListedObjectsAreFetchedWhileTheOriginsGateIsNarrowerThanOne() {
+        Rig rig = failedOrigin(400);
+        rig.now += 5000 * MS;
+        assertTrue(rig.ask(PAGE, 1059).source() >= 801 && !rig.hit(PAGE, 1059).heldOnly(), "asked before: listed");
+        rig.now += 5000 * MS;
+        assertTrue(rig.hit(PAGE, 6000).heldOnly(), "asked once");
     }
 
     @Test
