--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -478,10 +478,6 @@
         return set.weighted() && h.entry.weight() > 0 ? h.entry.weight() : 1;
     }
 
-    private static boolean ready(Host h) {
-        return h.state == HostState.READY;
-    }
-
     private static boolean tried(Req q, Host h) {
         return q.attempts.stream().anyMatch(a -> a.host == h && a.reach == Reach.ORIGIN && !overtaken(a));
     }
@@ -561,7 +557,10 @@
             return true;
         }
         double multiple = isParent(h) ? set.guards().parentFallMultiple() : set.guards().fallMultiple();
-        double unit = (isParent(h) ? fills : served).perNs(now) * weight(h);
+        // While none is warm the rate stands as it was measured last.
+        Rate measured = isParent(h) ? fills : served;
+        boolean warm = peers(h).stream().anyMatch(p -> warmth(p) >= 1);
+        double unit = measured.perNs(warm ? now : measured.at) * weight(h);
         double rate = unit * warmth * Math.min(COLD_MOST, multiple * COLD_MARGIN);
         double most = Math.max(rate * set.guards().overloadForNs() / 2, cost(q));
         h.budget = Math.min(most, h.budget + rate * (now - Math.max(h.budgetAt, h.startedAt)));
@@ -573,18 +572,19 @@
         return classWork[q.ask.cls()];
     }
 
-    // Books work that a host took to the rate of one warm host of unit size. It is divided by the hosts
-    // that shared it then, not by those left now: when most of a location leaves, the rest has not grown.
+    // Books what a warm host took to the rate of one of unit size. It is divided by the warm hosts that
+    // shared it then, not by those left now: when most of a location leaves, the rest has not grown.
     private void book(Host h, double work) {
-        double size = 0;
-        for (Host p : isParent(h) ? nearParents : edges) {
-            size += weight(p) * warmth(p);
-        }
-        if (size > 0 && ready(h)) {
+        double size = peers(h).stream().filter(p -> warmth(p) >= 1).mapToDouble(this::weight).sum();
+        if (size > 0 && h.state == HostState.READY && warmth(h) >= 1) {
             (isParent(h) ? fills : served).add(work / size, now);
         }
     }
 
+    private List<Host> peers(Host h) {
+        return isParent(h) ? nearParents : edges;
+    }
+
     // ---- Sending
 
     private void send(Req q, Host target, Host source, Reach reach) {
@@ -923,7 +923,7 @@
         origin = null;
         int hub = set.zone() < set.hubByZone().size() ? set.hubByZone().get(set.zone()) : -1;
         for (Host h : hosts.values()) {
-            if (!ready(h)) {
+            if (h.state != HostState.READY) {
                 continue;
             }
             if (isParent(h)) {
