--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -70,9 +70,11 @@
     private static final double ORIGIN_LATE = 0.3;
     // No one late answer takes more than this part of a gate: a large one must not shut it for all.
     private static final double GATE_CUT = 0.25;
-    // Running share of late answers that starts a gate's limit, and the weight of one answer in it.
+    // Running share of late answers that starts a gate's limit, and the weight of one answer in it, and of
+    // one of unknown size, which may be late for its size alone.
     private static final double LATE_SHARE = 0.15;
     private static final double LATE_WEIGHT = 0.1;
+    private static final double HINT_WEIGHT = 0.05;
     // Mean requests for which a gate of the own location is left open, and those for which the gates of all
     // routers together are at the origin.
     private static final double GATE_LEAST = 2;
@@ -164,12 +166,12 @@
         }
 
         // An answer of unknown size may be late for its size alone, so it moves no limit.
-        void hint(boolean onTime) {
-            late += LATE_WEIGHT * ((onTime ? 0 : 1) - late);
+        void hint(boolean onTime, double weight) {
+            late += weight * ((onTime ? 0 : 1) - late);
         }
 
         void answered(boolean onTime, double work, double meanWork) {
-            hint(onTime);
+            hint(onTime, LATE_WEIGHT);
             double least = floor * meanWork;
             if (limit == Double.POSITIVE_INFINITY) {
                 limit = late > LATE_SHARE ? Math.max(least, load + work) : limit;
@@ -741,7 +743,7 @@
         if (q.cls.goesThrough()) {
             originGate.answered(onTime, meanWork, meanWork);
         } else if (!q.sized) {
-            (isCache(a.host) && d.note() == Note.HIT ? a.host.gate : fillGate).hint(onTime);
+            (isCache(a.host) && d.note() == Note.HIT ? a.host.gate : fillGate).hint(onTime, HINT_WEIGHT);
         } else if (ok && !isCache(a.host)) {
             fillGate.answered(onTime, q.work, meanWork);
         } else if (ok && d.note() == Note.HIT) {
