--- a/src/main/java/brooklock/RouterApi.java
+++ b/src/main/java/brooklock/RouterApi.java
@@ -19,9 +19,6 @@
     /** How a host list is to be read; {@code FAILED} brings none. */
     public enum ListKind { DELTA, FULL, CACHED, FAILED }
 
-    /** Which other caches may be the source of a fill. */
-    public enum Siblings { NONE, LOCATION, ANY }
-
     /** How an attempt ended; {@code provesNotRun} is the wire's promise that it had no effect. */
     public enum Outcome {
         OK(false), ERROR(false), FULL(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false), CANCELLED(false),
@@ -42,45 +39,37 @@
     }
 
     /** One class of request. Times in nanoseconds; a fresh time of 0 means good until purged. */
-    public record ClassSettings(String name, long aimNs, double aimStretch, long giveUpNs, double worth,
-            double lateWorth, Effect effect, Group keyGroup, long keyWindowNs, boolean streamed,
-            boolean goesThrough, boolean multiPart, long freshNs, long graceNs, double worthWhenOld) {
+    public record ClassSettings(long aimNs, double aimStretch, Effect effect, Group keyGroup, long keyWindowNs,
+            boolean goesThrough, long freshNs) {
     }
 
     /** What the site permits. */
-    public record Limits(boolean cancel, boolean mayDuplicate, boolean retryAfter, boolean probing, int tries,
+    public record Limits(boolean cancel, boolean mayDuplicate, boolean retryAfter, int tries,
             long maxRetryAfterNs, long connectTimeoutNs) {
     }
 
     /** The figures of the rules. */
-    public record Guards(long answerSlackNs, long drainGraceNs, double coldFrom, long coldNs, double fallMultiple,
-            long overloadForNs, double parentColdFrom, long parentColdNs, double parentFallMultiple,
-            long purgeGraceNs, long purgeDoneNs) {
-    }
-
-    /** What each point of the result is charged for; shares or rates as the deployment states them. */
-    public record Prices(double waste, double origin, double lateFail, double probe, double linkBytes) {
+    public record Guards(double coldFrom, long coldNs, double fallMultiple, long overloadForNs,
+            double parentColdFrom, long parentColdNs, double parentFallMultiple, long purgeDoneNs) {
     }
 
     /**
-     * All that an instance is born with. {@code reports} are the names of the load values in their order;
-     * {@code hubByZone} and {@code seatsByZone} are indexed by zone; hosts of {@code parentKind} are parents, of
-     * {@code originKind} the origin, of any other kind caches.
+     * All that an instance is born with. {@code hubByZone} is indexed by zone; hosts of {@code parentKind} are
+     * parents, of {@code originKind} the origin, of any other kind caches.
      */
-    public record Settings(List<ClassSettings> classes, Limits limits, Guards guards, Prices prices, int ordinal,
-            int routers, int zone, List<Integer> hubByZone, List<Integer> seatsByZone, int parentKind, int originKind,
-            boolean weighted, boolean listIsAsked, long mustAskInNs, boolean joins, boolean direct, Siblings siblings,
-            double flowKbPerS, long tickNs, List<String> reports) {
+    public record Settings(List<ClassSettings> classes, Limits limits, Guards guards, int routers, int zone,
+            List<Integer> hubByZone, int parentKind, int originKind, boolean weighted, boolean listIsAsked,
+            boolean joins, boolean direct, double flowKbPerS, long tickNs) {
     }
 
     /** One host of a list. {@code startedAtNs} of 0 means long ago. */
-    public record HostEntry(long host, int zone, int kind, int cell, HostState state, double weight,
+    public record HostEntry(long host, int zone, int kind, HostState state, double weight,
             long startedAtNs) {
     }
 
     /** What happens to an instance. */
     public sealed interface Event
-            permits HostList, Request, Lapsed, TimerFired, Streaming, Done, Probed, PeerNote, Purged {
+            permits HostList, Request, Lapsed, TimerFired, Streaming, Done, Purged {
     }
 
     /** News of hosts. */
@@ -106,15 +95,7 @@
 
     /** An attempt ended; {@code closed} says that the request has its final answer. */
     public record Done(long id, int attempt, long host, Outcome outcome, Note note, long tookNs, long sourceWaitNs,
-            boolean closed, List<Double> report) implements Event {
-    }
-
-    /** A probe ended. */
-    public record Probed(long host, Outcome outcome, long tookNs, List<Double> report) implements Event {
-    }
-
-    /** Another router's message. */
-    public record PeerNote(int from, byte[] bytes) implements Event {
+            boolean closed) implements Event {
     }
 
     /** An object (0: all of the group) was purged so long ago. */
@@ -130,7 +111,7 @@
      * {@code oldestNs} 0 takes the class's fresh time; {@code heldOnly}: the source gives only what it holds.
      */
     public record Get(long id, long host, long limitNs, long source, int keep, long oldestNs, boolean join,
-            boolean heldOnly, boolean renew) implements Action {
+            boolean heldOnly) implements Action {
     }
 
     /** Final answer: declined, trying again is harmless. */
--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -18,8 +18,7 @@
 public final class Rules {
     // Interval of the hot list: about as long as edge caches keep what nobody asks for again.
     private static final long INTERVAL_NS = 10_000_000_000L;
-    // Objects counted in one interval; the oldest goes first. Bounds memory, far above what is asked in 10
-    // s.
+    // Objects counted in one interval, the oldest goes first: bounds memory, far above what 10 s ask.
     private static final int COUNTED_MAX = 50_000;
     // Times asked in this interval above which an object is spread over two caches, and over three.
     private static final int WIDE_AT = 20;
@@ -617,7 +616,7 @@
         }
         out.add(new Get(q.ask.id(), target.entry.host(), Math.max(1, q.ask.deadlineNs() - now),
                 source.entry.host(), rankOf(q, cached), oldest(q), set.joins() && !q.cls.goesThrough(),
-                reach == Reach.PARENT && isParent(source), false));
+                reach == Reach.PARENT && isParent(source)));
     }
 
     private void spend(Host h, Req q) {
--- a/src/main/java/brooklock/WireCodec.java
+++ b/src/main/java/brooklock/WireCodec.java
@@ -12,9 +12,7 @@
 import brooklock.RouterApi.ListKind;
 import brooklock.RouterApi.Note;
 import brooklock.RouterApi.Outcome;
-import brooklock.RouterApi.Prices;
 import brooklock.RouterApi.Settings;
-import brooklock.RouterApi.Siblings;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -52,7 +50,6 @@
     private static final int BIT_REPEAT = 2;
     private static final int HOW_JOIN = 1;
     private static final int HOW_HELD_ONLY = 2;
-    private static final int HOW_RENEW = 8;
     private static final Note[] NOTES = Note.values();
 
     private WireCodec() {
@@ -134,6 +131,7 @@
             });
         }
 
+        /** The next event, or null for what is read but asked for by nobody: probes and other routers' messages. */
         Event event(long now) {
             return guarded(() -> switch (code) {
                 case LIST -> list();
@@ -142,8 +140,8 @@
                 case COMPLETED -> completed();
                 case LAPSED -> new RouterApi.Lapsed(must64());
                 case TIMEOUT_FIRED -> new RouterApi.TimerFired(must32() & 0xffffffffL);
-                case PROBE_DONE -> new RouterApi.Probed(must32() & 0xffffffffL, outcome(must16()), opt64(), report());
-                case NOTE_FROM -> new RouterApi.PeerNote(must16(), bytes(must16()));
+                case PROBE_DONE -> probed();
+                case NOTE_FROM -> noteFrom();
                 case WITHDRAWN_COPY -> withdrawn();
                 default -> throw new WireFault("record at byte " + at + ": unknown event code " + code);
             });
@@ -174,8 +172,11 @@
             }
             List<HostEntry> rows = new ArrayList<>(n);
             for (int i = 0; i < n; i++) {
-                rows.add(new HostEntry(must32() & 0xffffffffL, must8(), must16(), must16(), state(must8()),
-                        must32f(), must64()));
+                long host = must32() & 0xffffffffL;
+                int zone = must8();
+                int machine = must16();
+                must16();
+                rows.add(new HostEntry(host, zone, machine, state(must8()), must32f(), must64()));
             }
             return new RouterApi.HostList(ListKind.values()[kind], rows);
         }
@@ -209,7 +210,22 @@
             int attempt = opt16();
             long waited = opt64();
             Note told = note >= 0 && note < NOTES.length ? NOTES[note] : Note.NONE;
-            return new RouterApi.Done(id, attempt, host, outcome, told, took, waited, closed, report());
+            report();
+            return new RouterApi.Done(id, attempt, host, outcome, told, took, waited, closed);
+        }
+
+        private Event probed() {
+            must32();
+            outcome(must16());
+            opt64();
+            report();
+            return null;
+        }
+
+        private Event noteFrom() {
+            must16();
+            bytes(must16());
+            return null;
         }
 
         private Event withdrawn() {
@@ -218,13 +234,10 @@
             return new RouterApi.Purged(object, opt16(), ago);
         }
 
-        private List<Double> report() {
-            int n = opt8();
-            List<Double> values = new ArrayList<>(n);
-            for (int i = 0; i < n; i++) {
-                values.add((double) must32f());
+        private void report() {
+            for (int n = opt8(); n > 0; n--) {
+                must32f();
             }
-            return values;
         }
 
         private byte[] bytes(int n) {
@@ -300,8 +313,7 @@
             if (action instanceof RouterApi.Get a) {
                 begin(LOOK_AND_FILL, 38, who).putLong(a.id()).putInt((int) a.host()).putLong(a.limitNs())
                         .putInt((int) a.source()).put((byte) a.keep()).putLong(a.oldestNs())
-                        .put((byte) ((a.join() ? HOW_JOIN : 0) | (a.heldOnly() ? HOW_HELD_ONLY : 0)
-                                | (a.renew() ? HOW_RENEW : 0)));
+                        .put((byte) ((a.join() ? HOW_JOIN : 0) | (a.heldOnly() ? HOW_HELD_ONLY : 0)));
             } else if (action instanceof RouterApi.Refuse a) {
                 begin(PUSH_BACK, 20, who).putLong(a.id()).putLong(a.retryInNs());
             } else if (action instanceof RouterApi.Fail a) {
@@ -339,39 +351,28 @@
         JsonObject extra = object(top, "extra");
         JsonObject limits = object(top, "limits");
         JsonObject guards = object(top, "invariants");
-        JsonObject prices = object(top, "prices");
         List<ClassSettings> classes = new ArrayList<>();
         for (JsonElement lane : array(top, "lanes")) {
             classes.add(classOf(lane.getAsJsonObject(), extra, classes.size()));
         }
-        List<String> reports = new ArrayList<>();
-        array(object(top, "report"), "fields").forEach(f -> reports.add(f.getAsString()));
         return new Settings(List.copyOf(classes),
                 new Limits(flag(limits, "cancel"), flag(limits, "mayDuplicate"), flag(limits, "retryAfter"),
-                        flag(limits, "probing"), (int) number(limits, "tryLimit"), whole(limits, "maxRetryAfterNs"),
+                        (int) number(limits, "tryLimit"), whole(limits, "maxRetryAfterNs"),
                         whole(limits, "connectTimeoutNs")),
-                new Guards(whole(guards, "graceToAnswerNs"), whole(guards, "stopSendingWithinNs"),
-                        number(guards, "coldFrom"), whole(guards, "coldNs"), number(guards, "fallMultiple"),
+                new Guards(number(guards, "coldFrom"), whole(guards, "coldNs"), number(guards, "fallMultiple"),
                         whole(guards, "overloadForNs"), number(extra, "parentStartsAt"),
                         whole(extra, "parentRampNs"), number(extra, "parentLimitFactor"),
-                        whole(extra, "purgeGraceNs"), whole(extra, "goneEverywhereNs")),
-                new Prices(number(prices, "waste"), number(prices, "origin"), number(prices, "lateFail"),
-                        number(prices, "probe"), number(extra, "byteFee")),
-                (int) number(top, "ordinal"), (int) number(top, "balancers"), (int) number(top, "zone"),
-                numbers(extra, "hubByZone"), numbers(extra, "seatsByZone"),
-                kind(extra, "secondTierKind"), kind(extra, "storeKind"),
-                !text(top, "weights").equals("off"), text(top, "discovery").equals("ask"),
-                whole(guards, "mustAskInNs"), flag(extra, "joins"), flag(extra, "passThroughOk"),
-                siblings(text(extra, "neighbours")), number(extra, "oneFlowKbPerS"), whole(top, "tickNs"),
-                List.copyOf(reports));
+                        whole(extra, "goneEverywhereNs")),
+                (int) number(top, "balancers"), (int) number(top, "zone"), numbers(extra, "hubByZone"),
+                kind(extra, "secondTierKind"), kind(extra, "storeKind"), !text(top, "weights").equals("off"),
+                text(top, "discovery").equals("ask"), flag(extra, "joins"), flag(extra, "passThroughOk"),
+                number(extra, "oneFlowKbPerS"), whole(top, "tickNs"));
     }
 
     private static ClassSettings classOf(JsonObject lane, JsonObject extra, int i) {
-        return new ClassSettings(text(lane, "name"), whole(lane, "onTimeNs"), number(lane, "aimStretch"),
-                whole(lane, "giveUpNs"), number(lane, "worth"), number(lane, "lateWorth"),
-                effect(text(lane, "effect")), group(text(lane, "keyScope")), whole(lane, "windowNs"),
-                flag(lane, "streamed"), flagAt(extra, "goesThrough", i), flagAt(extra, "multiPart", i),
-                wholeAt(extra, "goodForNs", i), wholeAt(extra, "graceForNs", i), numberAt(extra, "worthWhenOld", i));
+        return new ClassSettings(whole(lane, "onTimeNs"), number(lane, "aimStretch"), effect(text(lane, "effect")),
+                group(text(lane, "keyScope")), whole(lane, "windowNs"), flagAt(extra, "goesThrough", i),
+                wholeAt(extra, "goodForNs", i));
     }
 
     private static Effect effect(String word) {
@@ -391,14 +392,6 @@
         };
     }
 
-    private static Siblings siblings(String word) {
-        return switch (word) {
-            case "any" -> Siblings.ANY;
-            case "location" -> Siblings.LOCATION;
-            default -> Siblings.NONE;
-        };
-    }
-
     private static JsonObject object(JsonObject o, String key) {
         return o.has(key) && o.get(key).isJsonObject() ? o.getAsJsonObject(key) : new JsonObject();
     }
