Ordered membership notices: source, epoch, number; words by hand are one field

Two posts on two connections could be taken either way round, and a list that a newer one had overtaken made a removed host ready again. A drain by hand read the book on an I/O thread and wrote the whole member back over what had come between.

A pure core, Membership, takes notices by their place in their source's order: older, gap, old epoch and conflict are answered 409 with what is in force and change nothing. Several sources are united by the tightest word, so that no order between them is made up. Words by hand stand beside the lists. Repeated purges keep their moment.

--- a/src/main/java/brooklock/edge/Attempt.java
+++ b/src/main/java/brooklock/edge/Attempt.java
@@ -2,7 +2,6 @@
 
 import brooklock.RouterApi.Done;
 import brooklock.RouterApi.Get;
-import brooklock.RouterApi.HostState;
 import brooklock.RouterApi.Note;
 import brooklock.RouterApi.Outcome;
 import brooklock.RouterApi.Streaming;
@@ -58,12 +57,7 @@
     /** Rule 3, at the last moment: a connection may have been waited for while the host or the source left. */
     @Override
     public boolean mayGo() {
-        return ready(get.host()) && ready(get.source()) && !exchange.closed();
-    }
-
-    private boolean ready(long host) {
-        Member m = edge.book.get(host);
-        return m != null && m.state() == HostState.READY;
+        return edge.book.ready(get.host()) && edge.book.ready(get.source()) && !exchange.closed();
     }
 
     // ---- What the host answers
--- a/src/main/java/brooklock/edge/Control.java
+++ b/src/main/java/brooklock/edge/Control.java
@@ -4,8 +4,11 @@
 import brooklock.RouterApi.ListKind;
 import brooklock.RouterApi.Purged;
 import brooklock.http.Fields;
+import brooklock.members.Answer;
+import brooklock.members.HostBook;
 import brooklock.members.ListText;
-import brooklock.members.Member;
+import brooklock.members.Notice;
+import brooklock.members.PurgeMoments;
 import brooklock.net.ServerExchange;
 import java.math.BigDecimal;
 import java.net.URI;
@@ -15,6 +18,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * The control listener: purges, lists, drains by hand, the state. A notice is answered once the module has it, and may
@@ -23,6 +27,8 @@
 final class Control {
     private final Dispatcher edge;
     private final Routes routes;
+    // The decision thread's own.
+    private final PurgeMoments moments = new PurgeMoments();
 
     Control(Dispatcher edge) {
         this.edge = edge;
@@ -37,11 +43,14 @@
             Map<String, String> query = query(mark < 0 ? "" : target.substring(mark + 1));
             switch (x.head().method() + " " + path) {
                 case "GET /state" -> answer(x, 200, edge.state());
-                case "GET /hosts" -> answer(x, 200, ListText.write(true, edge.book.snapshot().values()));
+                case "GET /hosts" -> answer(x, 200, ListText.write(Notice.unnumbered(true,
+                        List.copyOf(edge.book.snapshot().values()))));
                 case "POST /hosts" -> x.body(body -> hosts(x, body));
-                case "POST /drain" -> x.body(body -> change(x, query.get("host"), HostState.DRAINING));
-                case "POST /gone" -> x.body(body -> change(x, query.get("host"), HostState.GONE));
-                case "POST /ready" -> x.body(body -> change(x, query.get("host"), HostState.READY));
+                case "POST /drain" -> x.body(body -> byHand(x, query.get("host"), HostState.DRAINING));
+                case "POST /gone" -> x.body(body -> byHand(x, query.get("host"), HostState.GONE));
+                case "POST /ready" -> x.body(body -> byHand(x, query.get("host"), HostState.READY));
+                case "POST /reset" -> x.body(body -> source(x, "reset", m -> m.reset(query.get("source"))));
+                case "POST /forget" -> x.body(body -> source(x, "forget", m -> m.forget(query.get("source"))));
                 case "POST /purge" -> x.body(body -> purge(x, query));
                 default -> answer(x, 404, "no such question or order: " + x.head().method() + " " + path);
             }
@@ -52,26 +61,22 @@
 
     private void hosts(ServerExchange x, byte[] body) {
         try {
-            ListText.Parsed list = ListText.parse(new String(body, StandardCharsets.UTF_8));
-            take(x, list.full() ? ListKind.FULL : ListKind.DELTA, list.members());
+            edge.notice(ListText.parse(new String(body, StandardCharsets.UTF_8)), answer(x));
         } catch (IllegalArgumentException e) {
             answer(x, 400, e.getMessage());
         }
     }
 
-    private void change(ServerExchange x, String host, HostState state) {
-        for (Member m : edge.book.snapshot().values()) {
-            if (m.name().equals(host)) {
-                take(x, ListKind.DELTA, List.of(m.in(state)));
-                return;
-            }
-        }
-        answer(x, 404, "no host of the name '" + host + "' is on the list");
+    private void byHand(ServerExchange x, String host, HostState state) {
+        edge.members("by hand: " + host + " " + state, m -> m.byHand(host, state), ListKind.DELTA, answer(x));
+    }
+
+    private void source(ServerExchange x, String what, HostBook.Change change) {
+        edge.members(what, change, ListKind.FULL, answer(x));
     }
 
-    private void take(ServerExchange x, ListKind kind, List<Member> members) {
-        edge.hosts(kind, members, refused -> x.loop().execute(
-                () -> answer(x, refused == null ? 200 : 400, refused == null ? "taken" : refused)));
+    private static Consumer<Answer> answer(ServerExchange x) {
+        return a -> x.loop().execute(() -> answer(x, a.result().status, a.text()));
     }
 
     private void purge(ServerExchange x, Map<String, String> query) {
@@ -84,15 +89,14 @@
             BigDecimal ms = BigDecimal.valueOf(now.getEpochSecond()).scaleByPowerOfTen(3)
                     .add(BigDecimal.valueOf(now.getNano(), 6));
             long agoNs = Math.max(0, ms.subtract(new BigDecimal(at)).scaleByPowerOfTen(6).longValue());
-            Purged purged;
-            if (query.containsKey("group")) {
-                purged = new Purged(0, Routes.group(query.get("group")), agoNs);
-            } else if (query.containsKey("url")) {
-                purged = new Purged(object(query.get("url")), 0, agoNs);
-            } else {
+            if (!query.containsKey("group") && !query.containsKey("url")) {
                 throw new IllegalArgumentException("a purge names url=URL or group=NAME");
             }
-            edge.decisions.tell(purged, () -> x.loop().execute(() -> answer(x, 200, "purged")));
+            int group = query.containsKey("group") ? Routes.group(query.get("group")) : 0;
+            long object = query.containsKey("group") ? 0 : object(query.get("url"));
+            long came = edge.clock.now();
+            edge.decisions.make(() -> new Purged(object, group, edge.clock.now() - came
+                    + moments.ago(group + " " + object + " " + at, came, agoNs)), () -> x.loop().execute(() -> answer(x, 200, "purged")));
         } catch (IllegalArgumentException e) {
             answer(x, 400, e.getMessage());
         }
--- a/src/main/java/brooklock/edge/Dispatcher.java
+++ b/src/main/java/brooklock/edge/Dispatcher.java
@@ -4,7 +4,6 @@
 import brooklock.RouterApi.Cancel;
 import brooklock.RouterApi.Fail;
 import brooklock.RouterApi.Get;
-import brooklock.RouterApi.HostList;
 import brooklock.RouterApi.HostState;
 import brooklock.RouterApi.ListKind;
 import brooklock.RouterApi.Refuse;
@@ -14,9 +13,12 @@
 import brooklock.http.Forwarding;
 import brooklock.http.HttpLimits;
 import brooklock.http.RequestHead;
+import brooklock.members.Answer;
 import brooklock.members.HostBook;
 import brooklock.members.ListFile;
 import brooklock.members.Member;
+import brooklock.members.Membership;
+import brooklock.members.Notice;
 import brooklock.net.Client;
 import brooklock.net.ClientLimits;
 import brooklock.net.IoLoop;
@@ -38,6 +40,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import javax.net.ssl.SSLContext;
 import org.slf4j.Logger;
@@ -127,40 +130,51 @@
 
     // The list as it was saved last, else that of the settings.
     private void firstList() throws IOException {
-        List<Member> first = null;
+        Membership.State saved = null;
         if (settings.files().list() != null) {
             try {
-                first = new ListFile(settings.files().list()).load();
+                saved = new ListFile(settings.files().list()).load();
             } catch (IOException e) {
                 LOG.error("the saved list cannot be used, the settings' hosts are taken instead", e);
             }
         }
-        List<Member> hosts = first != null ? first : settings.hosts().stream().map(h -> new Member(h.name(), h.id(),
-                h.kind(), settings.zones().get(h.zone()).name(), h.address(), HostState.READY, h.weight(), 0)).toList();
-        hosts(ListKind.CACHED, hosts, null);
+        List<Member> hosts = settings.hosts().stream().map(h -> new Member(h.name(), h.id(), h.kind(),
+                settings.zones().get(h.zone()).name(), h.address(), HostState.READY, h.weight(), 0)).toList();
+        Membership.State first = saved;
+        members("first list", m -> first == null ? m.settings(System.currentTimeMillis(), hosts) : m.restore(first),
+                ListKind.CACHED, null);
     }
 
-    /** Takes a list, on the decision thread; {@code then} is told the reason if it is refused, else null. */
-    void hosts(ListKind kind, List<Member> changes, java.util.function.Consumer<String> then) {
-        String[] refused = new String[1];
+    /** Takes a list, on the decision thread; {@code then} is told what came of it once it has been saved. */
+    void notice(Notice n, Consumer<Answer> then) {
+        members(n.stamp() == null ? "unnumbered list" : n.stamp().toString(),
+                m -> m.take(System.currentTimeMillis(), n), n.full() ? ListKind.FULL : ListKind.DELTA, then);
+    }
+
+    /**
+     * Changes the list in force. The change is made on the decision thread, by what is in force there and then; what is
+     * told to whoever sent it holds through a kill, since it is told after it was saved.
+     */
+    void members(String what, HostBook.Change change, ListKind kind, Consumer<Answer> then) {
+        Answer[] came = new Answer[1];
         decisions.make(() -> {
             try {
-                HostList list = book.take(kind, changes);
-                LOG.atInfo().addKeyValue("kind", kind).addKeyValue("hosts", changes.size()).addKeyValue("news",
-                        kind == ListKind.DELTA ? changes.stream().map(m -> m.name() + " " + m.state()).toList() : "all")
-                        .log("list");
-                keeper.save(book.snapshot().values());
-                dropIdle(changes);
-                return list;
-            } catch (IllegalArgumentException e) {
-                refused[0] = e.getMessage();
-                return null;
+                came[0] = book.change(change);
+            } catch (RuntimeException fault) {
+                // A fault in one notice must not stop all others, nor any decision.
+                LOG.error("notice failed: {}", what, fault);
+                came[0] = Answer.fault(fault);
             }
-        }, () -> {
+            LOG.atInfo().addKeyValue("notice", what).addKeyValue("result", came[0].result()).addKeyValue("news",
+                    came[0].full() ? came[0].told().size() + " hosts" : came[0].told().stream()
+                    .map(m -> m.name() + " " + m.state()).toList()).log("list");
+            dropIdle(came[0].told());
+            return book.news(came[0], kind);
+        }, () -> keeper.save(book.state(), problem -> {
             if (then != null) {
-                then.accept(refused[0]);
+                then.accept(problem == null || !came[0].taken() ? came[0] : came[0].unsaved(problem));
             }
-        });
+        }));
     }
 
     private void dropIdle(Collection<Member> changes) {
@@ -333,7 +347,7 @@
             } else if (a instanceof Cancel c) {
                 on(c.id(), x -> x.cancel(c.attempt()));
             } else if (a instanceof Watch) {
-                hosts(ListKind.FULL, List.copyOf(book.snapshot().values()), null);
+                decisions.make(() -> book.everything(ListKind.FULL), () -> { });
             }
         }
 
@@ -387,6 +401,10 @@
                 .append("decision-overflows ").append(decisions.overflows()).append('\n');
         counts.write(s);
         gate.state(s);
+        book.state().sources().values().forEach(v -> s.append(v).append(" heard-ms-ago ")
+                .append(Math.max(0, System.currentTimeMillis() - v.heardMs())).append('\n'));
+        book.state().byHand().forEach((id, word) -> s.append("by-hand ").append(book.get(id).name()).append(' ')
+                .append(word).append('\n'));
         for (Member m : book.snapshot().values()) {
             s.append("host ").append(m.name()).append(' ').append(m.state()).append(' ').append(m.startedMs())
                     .append('\n');
--- a/src/main/java/brooklock/edge/ListKeeper.java
+++ b/src/main/java/brooklock/edge/ListKeeper.java
@@ -1,10 +1,11 @@
 package brooklock.edge;
 
 import brooklock.members.ListFile;
-import brooklock.members.Member;
+import brooklock.members.Membership;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.Collection;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -12,12 +13,23 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Saves the list beside the traffic: only the newest waits to be written. */
+/**
+ * Saves the list beside the traffic: only the newest waits to be written. Whoever waits for a state to be saved is told
+ * once it, or a newer one, is on disk.
+ */
 final class ListKeeper {
     private static final Logger LOG = LoggerFactory.getLogger(ListKeeper.class);
 
+    /** Told whether it was saved; called on the writer's thread, or at once where nothing is saved. */
+    interface Saved {
+        void done(String problem);
+    }
+
+    private record Work(Membership.State state, List<Saved> waiting) {
+    }
+
     private final ListFile file;
-    private final AtomicReference<Collection<Member>> newest = new AtomicReference<>();
+    private final AtomicReference<Work> newest = new AtomicReference<>();
     private final ExecutorService writer = Executors.newSingleThreadExecutor(r -> {
         Thread t = new Thread(r, "list-writer");
         t.setDaemon(true);
@@ -28,15 +40,33 @@
         file = path == null ? null : new ListFile(path);
     }
 
-    void save(Collection<Member> members) {
-        if (file != null && newest.getAndSet(members) == null) {
-            writer.execute(() -> {
-                try {
-                    file.save(newest.getAndSet(null));
-                } catch (IOException e) {
-                    LOG.error("the list cannot be saved; after a restart the one before is taken", e);
-                }
-            });
+    /** Saves a state; on the decision thread alone, so that the newest is the one handed in last. */
+    void save(Membership.State state, Saved then) {
+        if (file == null) {
+            then.done(null);
+            return;
+        }
+        Work before = newest.getAndUpdate(w -> {
+            List<Saved> waiting = new ArrayList<>(w == null ? List.of() : w.waiting());
+            waiting.add(then);
+            return new Work(state, waiting);
+        });
+        if (before == null) {
+            writer.execute(this::write);
+        }
+    }
+
+    private void write() {
+        Work work = newest.getAndSet(null);
+        String problem = null;
+        try {
+            file.save(work.state());
+        } catch (IOException e) {
+            problem = String.valueOf(e.getMessage());
+            LOG.error("the list cannot be saved; after a restart the one before is taken", e);
+        }
+        for (Saved s : work.waiting()) {
+            s.done(problem);
         }
     }
 
--- a/src/main/java/brooklock/members/HostBook.java
+++ b/src/main/java/brooklock/members/HostBook.java
@@ -8,18 +8,18 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.function.LongUnaryOperator;
 
 /**
- * The list in force. Written by one thread; readers take an immutable snapshot. A host once named stays known, as gone,
- * until room is needed, since attempts to it may still be out.
+ * The list in force and what the module is told of it. Written by one thread; readers take an immutable snapshot. A host
+ * once named stays known, as gone, until room is needed, since attempts to it may still be out.
  */
 public final class HostBook {
     private final List<String> zones;
     private final LongUnaryOperator moduleTime;
     private final Map<String, Long> starts = new HashMap<>();
-    private volatile Map<Long, Member> members = Map.of();
+    private final Membership core;
+    private volatile Membership.State state = Membership.State.EMPTY;
 
     /**
      * An empty book.
@@ -30,36 +30,43 @@
     public HostBook(List<String> zones, LongUnaryOperator moduleTime) {
         this.zones = zones;
         this.moduleTime = moduleTime;
+        core = new Membership(zones);
     }
 
-    /** Takes a list and gives what the module is told of it. Zones not in the settings are refused. */
-    public HostList take(ListKind kind, List<Member> changes) {
-        for (Member m : changes) {
-            if (!zones.contains(m.zone())) {
-                throw new IllegalArgumentException("host '" + m.name() + "': there is no zone '" + m.zone() + "'");
-            }
-        }
-        Map<Long, Member> next = new TreeMap<>(members);
-        if (kind != ListKind.DELTA) {
-            next.replaceAll((id, m) -> m.in(HostState.GONE));
-        }
-        changes.forEach(m -> next.put(m.id(), m));
-        if (next.size() > ListText.MOST) {
-            next.values().removeIf(m -> m.state() == HostState.GONE);
-        }
-        if (next.size() > ListText.MOST) {
-            throw new IllegalArgumentException("the list would hold over " + ListText.MOST + " hosts");
+    /** An order or a word for the core, given on the thread that writes. */
+    public interface Change {
+        /** What came of it. */
+        Answer on(Membership core);
+    }
+
+    /** Makes a change; the snapshot is the new one when this returns. */
+    public Answer change(Change c) {
+        Answer a = c.on(core);
+        state = core.state();
+        return a;
+    }
+
+    /** What the module is told of an answer; null where there is no news. */
+    public HostList news(Answer a, ListKind kind) {
+        if (a.told().isEmpty() && !a.full()) {
+            return null;
         }
-        members = next;
         starts.keySet().removeIf(s -> !known(s));
         List<HostEntry> entries = new ArrayList<>();
-        for (Member m : changes) {
-            entries.add(new HostEntry(m.id(), zones.indexOf(m.zone()), m.kind().ordinal(), m.state(), m.weight(),
-                    started(m)));
+        for (Member m : a.told()) {
+            int zone = zones.indexOf(m.zone());
+            if (zone >= 0) {
+                entries.add(new HostEntry(m.id(), zone, m.kind().ordinal(), m.state(), m.weight(), started(m)));
+            }
         }
         return new HostList(kind, entries);
     }
 
+    /** All that is in force, as the module is told of it. */
+    public HostList everything(ListKind kind) {
+        return news(new Answer(Answer.Result.TAKEN, "", List.copyOf(snapshot().values()), true), kind);
+    }
+
     // A start is turned into the module's time once: if the wall clock is set meanwhile, the same start stays the same.
     private long started(Member m) {
         return m.startedMs() == 0 ? 0
@@ -67,17 +74,28 @@
     }
 
     private boolean known(String start) {
-        Member m = members.get(Long.parseLong(start.substring(0, start.indexOf('@'))));
+        Member m = get(Long.parseLong(start.substring(0, start.indexOf('@'))));
         return m != null && start.endsWith("@" + m.startedMs());
     }
 
+    /** All of it now; does not change any more. */
+    public Membership.State state() {
+        return state;
+    }
+
     /** The list now; does not change any more. */
     public Map<Long, Member> snapshot() {
-        return members;
+        return state.inForce();
     }
 
     /** A host by its number, or null. */
     public Member get(long id) {
-        return members.get(id);
+        return state.inForce().get(id);
+    }
+
+    /** Whether a host may be sent requests and be named as a source. */
+    public boolean ready(long id) {
+        Member m = get(id);
+        return m != null && m.state() == HostState.READY;
     }
 }
--- a/src/main/java/brooklock/members/ListFile.java
+++ b/src/main/java/brooklock/members/ListFile.java
@@ -8,7 +8,6 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
-import java.util.List;
 
 /** The last list, on disk: all that a dispatcher that was killed has when it is back. */
 public final class ListFile {
@@ -20,27 +19,27 @@
     }
 
     /**
-     * The list as it was saved last, or null where there is none.
+     * What was in force when it was saved last, or null where nothing was.
      *
      * @throws IOException where the file cannot be read or is not a whole list
      */
-    public List<Member> load() throws IOException {
+    public Membership.State load() throws IOException {
         if (!Files.exists(path)) {
             return null;
         }
         try {
-            return ListText.parse(Files.readString(path, StandardCharsets.UTF_8)).members();
+            return BookText.read(Files.readString(path, StandardCharsets.UTF_8));
         } catch (IllegalArgumentException e) {
             throw new IOException(path + ": " + e.getMessage());
         }
     }
 
-    /** Saves a list whole: written beside, forced out, then put in place of the one before. */
-    public void save(Iterable<Member> members) throws IOException {
+    /** Saves it whole: written beside, forced out, then put in place of the one before. */
+    public void save(Membership.State state) throws IOException {
         Path beside = path.resolveSibling(path.getFileName() + ".new");
         try (FileChannel out = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
                 StandardOpenOption.TRUNCATE_EXISTING)) {
-            ByteBuffer b = StandardCharsets.UTF_8.encode(ListText.write(true, members));
+            ByteBuffer b = StandardCharsets.UTF_8.encode(BookText.write(state));
             while (b.hasRemaining()) {
                 out.write(b);
             }
--- a/src/main/java/brooklock/members/ListText.java
+++ b/src/main/java/brooklock/members/ListText.java
@@ -11,24 +11,22 @@
 import java.util.Set;
 
 /**
- * A list of hosts as text: a first line "list full" or "list delta", a line a host, and a last line "end N" with their
+ * A list of hosts as text: a first line "list full" or "list delta" with the list's place in its source's order, if it
+ * has one ("source NAME epoch E number N", a delta "follows M" too), a line a host, and a last line "end N" with their
  * number, so that a list cut short is seen to be. A list is taken whole or not at all.
  */
 public final class ListText {
     /** Most hosts in one list. */
     public static final int MOST = 4096;
 
-    /** A list that was read. */
-    public record Parsed(boolean full, List<Member> members) {
-    }
-
     private ListText() {
     }
 
     /** Reads a list; a wrong one throws with line and reason. */
-    public static Parsed parse(String text) {
+    public static Notice parse(String text) {
         String[] rows = text.split("\n");
-        if (!rows[0].equals("list full") && !rows[0].equals("list delta")) {
+        String[] first = rows[0].trim().split("[ \t]+");
+        if (first.length < 2 || !first[0].equals("list") || !first[1].equals("full") && !first[1].equals("delta")) {
             throw new IllegalArgumentException("line 1: a list begins with 'list full' or 'list delta'");
         }
         String last = rows[rows.length - 1];
@@ -52,10 +50,36 @@
                 throw new IllegalArgumentException("line " + (i + 1) + ": " + e.getMessage());
             }
         }
-        return new Parsed(rows[0].endsWith("full"), all);
+        try {
+            return new Notice(stamp(first, 2), first[1].equals("full"), all);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("line 1: " + e.getMessage());
+        }
+    }
+
+    // From a word on: source NAME epoch E number N [follows M], or nothing.
+    private static Stamp stamp(String[] w, int from) {
+        if (w.length == from) {
+            return null;
+        }
+        String[] keys = {"source", "epoch", "number", "follows"};
+        String[] values = {null, "0", "0", "0"};
+        for (int i = from; i < w.length; i += 2) {
+            int k = (i - from) / 2;
+            if (k >= keys.length || !w[i].equals(keys[k]) || i + 1 == w.length) {
+                throw new IllegalArgumentException("a list's place is: source NAME epoch E number N, and for a delta "
+                        + "follows M");
+            }
+            values[k] = w[i + 1];
+            if (k > 0 && !values[k].matches("\\d{1,15}")) {
+                throw new IllegalArgumentException("'" + values[k] + "' is not a whole number of up to 15 digits");
+            }
+        }
+        return new Stamp(values[0], Long.parseLong(values[1]), Long.parseLong(values[2]), Long.parseLong(values[3]));
     }
 
-    private static Member member(String row) {
+    /** Reads one host's line; a wrong one throws with the reason. */
+    static Member member(String row) {
         String[] w = row.trim().split("[ \t]+");
         if (w.length != 7) {
             throw new IllegalArgumentException("a host is: name kind zone address state weight started-ms");
@@ -75,7 +99,7 @@
                 word(HostState.class, w[4]), weight, Long.parseLong(w[6]));
     }
 
-    private static <E extends Enum<E>> E word(Class<E> type, String text) {
+    static <E extends Enum<E>> E word(Class<E> type, String text) {
         for (E e : type.getEnumConstants()) {
             if (e.name().toLowerCase(Locale.ROOT).equals(text)) {
                 return e;
@@ -86,17 +110,22 @@
     }
 
     /** A list as text. */
-    public static String write(boolean full, Iterable<Member> members) {
-        StringBuilder s = new StringBuilder(full ? "list full\n" : "list delta\n");
-        int n = 0;
-        for (Member m : members) {
-            s.append(m.name()).append(' ').append(lower(m.kind())).append(' ').append(m.zone()).append(' ')
-                    .append(m.address().getAddress().getHostAddress()).append(':').append(m.address().getPort())
-                    .append(' ').append(lower(m.state())).append(' ').append(m.weight()).append(' ')
-                    .append(m.startedMs()).append('\n');
-            n++;
-        }
-        return s.append("end ").append(n).append('\n').toString();
+    public static String write(Notice n) {
+        StringBuilder s = new StringBuilder(n.full() ? "list full" : "list delta")
+                .append(n.stamp() == null ? "" : " " + n.stamp()).append('\n');
+        n.members().forEach(m -> s.append(write(m)).append('\n'));
+        return s.append("end ").append(n.members().size()).append('\n').toString();
+    }
+
+    /** One host's line. */
+    static String write(Member m) {
+        return m.name() + ' ' + lower(m.kind()) + ' ' + m.zone() + ' ' + m.address().getAddress().getHostAddress() + ':'
+                + m.address().getPort() + ' ' + lower(m.state()) + ' ' + plain(m.weight()) + ' ' + m.startedMs();
+    }
+
+    // As it is read: no exponent.
+    private static String plain(double weight) {
+        return new java.math.BigDecimal(Double.toString(weight)).toPlainString();
     }
 
     private static String lower(Enum<?> e) {
--- a/src/main/java/brooklock/rehearsal/Notices.java
+++ b/src/main/java/brooklock/rehearsal/Notices.java
@@ -79,7 +79,7 @@
         Runner d = dispatchers.get(i);
         int epoch = d.epoch;
         List<Member> sent = List.copyOf(members);
-        post(d, "/hosts", ListText.write(full, sent), () -> {
+        post(d, "/hosts", ListText.write(brooklock.members.Notice.unnumbered(full, sent)), () -> {
             long now = System.nanoTime();
             sent.forEach(m -> told.add(new Told(i, epoch, m.name(), m.state(), now)));
         });
--- a/src/test/java/brooklock/ArchitectureTest.java
+++ b/src/test/java/brooklock/ArchitectureTest.java
@@ -59,6 +59,17 @@
                 .orShould().callMethod(System.class, "currentTimeMillis").check(all);
     }
 
+    @Test
+    void theOrderOfNoticesIsPure() {
+        noClasses().that().haveFullyQualifiedName("brooklock.members.Membership").or().haveNameMatching(
+                "brooklock\\.members\\.(Membership|Stamp|Notice|Source|Answer|ListText|BookText|Member|PurgeMoments)(\\$.*)?")
+                .should().dependOnClassesThat(DescribedPredicate.describe("files, sockets, threads, logs",
+                c -> c.getFullName().matches("(java\\.io|java\\.nio\\.(file|channels)|java\\.util\\.concurrent|org\\.slf4j)"
+                + "\\..*|java\\.lang\\.Thread.*|java\\.net\\.(Socket|ServerSocket|Datagram).*|java\\.time\\.(Clock|Instant)")))
+                .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+                .check(all);
+    }
+
     @Test
     void theBenchsAdapterLoadsNothingOfTheRest() {
         noClasses().that(in(List.of("brooklock.bench"))).should().dependOnClassesThat(DescribedPredicate.describe(
--- a/src/test/java/brooklock/edge/HardCasesTest.java
+++ b/src/test/java/brooklock/edge/HardCasesTest.java
@@ -121,14 +121,7 @@
     @Test
     void aDispatcherThatWasKilledKeepsItsLastList() throws Exception {
         try (Bed bed = new Bed(dir, 2, 1, "list hosts.list").start()) {
-            bed.control("POST", "/gone?host=c1", "");
-            Bed.await("the list to be saved", () -> {
-                try {
-                    return java.nio.file.Files.readString(dir.resolve("hosts.list")).contains(" gone ");
-                } catch (IOException e) {
-                    return false;
-                }
-            });
+            assertEquals(200, bed.control("POST", "/gone?host=c1", "").status(), "it is saved when it is answered");
             bed.edge.close();
             bed.start();
             long told = System.nanoTime();
