One base for both sides of a connection: Wire

Client- and ServerConnection held the same buffer, deadline and closing twice. What they share (bytes not taken yet, output, one moving deadline, an end that happens once) is in one base now.

--- a/src/main/java/brooklock/net/ClientConnection.java
+++ b/src/main/java/brooklock/net/ClientConnection.java
@@ -9,26 +9,16 @@
 import brooklock.http.Writing;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
-import org.xnio.conduits.ConduitStreamSourceChannel;
-import org.xnio.ssl.SslConnection;
 
 /** The client's side of one connection to a host; one call at a time. */
-final class ClientConnection {
+final class ClientConnection extends Wire {
     // Interim answers before a final one; a host that sends more is not sane.
     private static final int MOST_INTERIM = 8;
 
     private final HostPool pool;
-    private final IoLoop loop;
-    private final StreamConnection connection;
-    private final ConduitStreamSourceChannel source;
     private final ClientLimits limits;
-    private final Output output;
-    private final Watchdog watchdog;
-    private final boolean tls;
     private ResponseParser parser;
-    private ByteBuffer in;
     private ClientCall call;
     private ResponseHead head;
     private BodyDecoder body;
@@ -36,18 +26,12 @@
     private int interim;
     private int calls;
     private boolean held;
-    private boolean closed;
 
     ClientConnection(HostPool pool, IoLoop loop, StreamConnection connection, ClientLimits limits) {
+        super(loop, connection);
         this.pool = pool;
-        this.loop = loop;
-        this.connection = connection;
         this.limits = limits;
-        tls = connection instanceof SslConnection;
-        source = connection.getSourceChannel();
-        output = new Output(connection.getSinkChannel());
         parser = new ResponseParser(limits.http());
-        watchdog = new Watchdog(loop, this::late);
         source.setReadListener(c -> readable());
         connection.getSinkChannel().setWriteListener(c -> writable());
         connection.setCloseListener(c -> broken("connection closed"));
@@ -125,10 +109,7 @@
 
     // True if something came.
     private boolean readOnce() throws IOException, HttpProblem {
-        if (in == null) {
-            in = loop.buffers.take();
-        }
-        int n = source.read(in);
+        int n = fill();
         if (closed) {
             return false;
         }
@@ -146,17 +127,13 @@
         }
         in.flip();
         parse();
-        keepRest();
+        keepUnlessHeld();
         return n > 0;
     }
 
-    private void keepRest() {
-        if (in == null || held) {
-            return;
-        }
-        in.compact();
-        if (in.position() == 0) {
-            giveBuffer();
+    private void keepUnlessHeld() {
+        if (!held) {
+            keepRest();
         }
     }
 
@@ -215,7 +192,7 @@
         source.resumeReads();
         try {
             pump();
-            keepRest();
+            keepUnlessHeld();
             if (tls && !closed && !held) {
                 source.wakeupReads();
             }
@@ -280,7 +257,8 @@
         }
     }
 
-    private void late() {
+    @Override
+    void late() {
         if (call != null) {
             fail(Failure.BROKEN, "the host stopped in the middle of its answer");
         } else {
@@ -302,21 +280,10 @@
         source.resumeReads();
     }
 
-    private void giveBuffer() {
-        if (in != null) {
-            loop.buffers.give(in);
-            in = null;
-        }
-    }
-
     void kill() {
-        if (closed) {
+        if (!end()) {
             return;
         }
-        closed = true;
-        watchdog.end();
-        giveBuffer();
-        IoUtils.safeClose(connection);
         pool.gone(this);
         ClientCall mine = call;
         call = null;
--- a/src/main/java/brooklock/net/ServerConnection.java
+++ b/src/main/java/brooklock/net/ServerConnection.java
@@ -15,48 +15,33 @@
 import java.util.Arrays;
 import java.util.function.Predicate;
 import javax.net.ssl.SSLPeerUnverifiedException;
-import org.xnio.IoUtils;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
-import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.ssl.SslConnection;
 
 /**
  * The server's side of one connection. Requests are taken one at a time, in order: a pipelined one waits unread, at most
  * a buffer of it, until the answer before it has gone out.
  */
-final class ServerConnection {
+final class ServerConnection extends Wire {
     // Once an answer to a bad request has gone out, what the client still sends is read away for so long, so that
     // the system does not throw the answer away with a reset (RFC 9112, section 9.6).
     private static final long LINGER_NS = 500_000_000L;
 
-    final IoLoop loop;
     final Listener listener;
-    private final StreamConnection connection;
-    private final ConduitStreamSourceChannel source;
     private final RequestParser parser;
-    private final Output output;
-    private final Watchdog watchdog;
     private final boolean unwanted;
-    private final boolean tls;
-    private ByteBuffer in;
     private BodyDecoder body;
     private ServerExchange current;
     private int served;
     private boolean lingering;
     private boolean inputEnded;
-    private boolean closed;
 
     ServerConnection(Listener listener, IoLoop loop, StreamConnection connection, boolean unwanted) {
+        super(loop, connection);
         this.listener = listener;
-        this.loop = loop;
-        this.connection = connection;
         this.unwanted = unwanted;
-        tls = connection instanceof SslConnection;
-        source = connection.getSourceChannel();
-        output = new Output(connection.getSinkChannel());
         parser = new RequestParser(listener.limits.http());
-        watchdog = new Watchdog(loop, this::late);
     }
 
     void start() {
@@ -89,10 +74,7 @@
 
     private void read() throws IOException, HttpProblem {
         while (!closed) {
-            if (in == null) {
-                in = loop.buffers.take();
-            }
-            int n = source.read(in);
+            int n = fill();
             if (closed) {
                 // A read that finds the end may close the connection at once.
                 return;
@@ -117,10 +99,8 @@
             if (closed || in == null) {
                 return;
             }
-            in.compact();
-            if (in.position() == 0) {
-                giveBuffer();
-            } else if (!in.hasRemaining()) {
+            keepRest();
+            if (in != null && !in.hasRemaining()) {
                 // A pipelined request fills the buffer while the one before it is at work.
                 source.suspendReads();
                 return;
@@ -200,12 +180,7 @@
             try {
                 in.flip();
                 parse();
-                if (in != null) {
-                    in.compact();
-                    if (in.position() == 0) {
-                        giveBuffer();
-                    }
-                }
+                keepRest();
             } catch (HttpProblem e) {
                 bad(e);
                 return;
@@ -217,13 +192,6 @@
         }
     }
 
-    private void giveBuffer() {
-        if (in != null) {
-            loop.buffers.give(in);
-            in = null;
-        }
-    }
-
     // ---- Writing
 
     /** Hands buffers to the socket; true if it took all, else {@link ServerExchange#onWritable} is called later. */
@@ -341,7 +309,8 @@
 
     // ---- Ends
 
-    private void late() {
+    @Override
+    void late() {
         if (current == null && parser.midway()) {
             refuse(408, "the request took too long to come");
         } else if (current != null && body != null && !body.done() && !current.answering()) {
@@ -378,13 +347,9 @@
     }
 
     void kill() {
-        if (closed) {
+        if (!end()) {
             return;
         }
-        closed = true;
-        watchdog.end();
-        giveBuffer();
-        IoUtils.safeClose(connection);
         listener.closed(this);
         ServerExchange x = current;
         current = null;
