New tokens checked on threads of their own; no request before the first list

A new ES256 token costs 2.2 ms on the I/O thread, in which every connection of that thread stands still.

A dispatcher listened before its first list was in force; a test of a restart found it without hosts. It waits for the list now.

--- a/benchmarks/RightsCost.java
+++ b/benchmarks/RightsCost.java
@@ -1,4 +1,6 @@
+import brooklock.credentials.BadCredential;
 import brooklock.credentials.ClientTrust;
+import brooklock.credentials.Identity;
 import brooklock.credentials.KeyFile;
 import brooklock.credentials.KeyRing;
 import brooklock.credentials.LocalAuthority;
@@ -34,6 +36,22 @@
 /** What rights cost: a decision by number of lines, a token new and seen, handshakes a second, all checks of a request. */
 public final class RightsCost {
     private static long sink;
+    private static final TokenBook.Taker taker = new TokenBook.Taker() {
+        @Override
+        public void good(Identity caller) {
+            sink += caller.untilMs();
+        }
+
+        @Override
+        public void bad(BadCredential why) {
+            throw new IllegalStateException(why);
+        }
+
+        @Override
+        public void full() {
+            throw new IllegalStateException();
+        }
+    };
 
     public static void main(String[] args) throws Exception {
         for (int lines : new int[] {10, 1000, 20000}) {
@@ -67,11 +85,11 @@
                     throw new IllegalStateException(e);
                 }
             }), per(200_000, i -> {
-                try {
-                    sink += book.look(token, ring, "a", now, 1).untilMs();
-                } catch (Exception e) {
-                    throw new IllegalStateException(e);
-                }
+                book.look(token, ring, "a", now, 1, (dear, after) -> {
+                    dear.run();
+                    after.run();
+                    return true;
+                }, taker);
             }));
         }
         handshakes();
--- a/src/main/java/brooklock/credentials/TokenCheck.java
+++ b/src/main/java/brooklock/credentials/TokenCheck.java
@@ -40,6 +40,41 @@
     public record Good(Identity identity, KeyRing.Key key) {
     }
 
+    /** A token of which all but the signature has been found good. */
+    public static final class Claimed {
+        private final JWSHeader header;
+        private final byte[] signed;
+        private final Base64URL signature;
+        private final Good good;
+
+        private Claimed(JWSHeader header, byte[] signed, Base64URL signature, Good good) {
+            this.header = header;
+            this.signed = signed;
+            this.signature = signature;
+            this.good = good;
+        }
+
+        KeyRing.Key key() {
+            return good.key();
+        }
+
+        /**
+         * Checks the signature: some hundred to some thousand microseconds, on any thread.
+         *
+         * @throws BadCredential where it is not the key's
+         */
+        public Good verify() throws BadCredential {
+            try {
+                if (!good.key().verifier().verify(header, signed, signature)) {
+                    throw new BadCredential("the token's signature is wrong", true);
+                }
+            } catch (JOSEException e) {
+                throw new BadCredential("the token's signature cannot be checked", true);
+            }
+            return good;
+        }
+    }
+
     /**
      * Checks a token.
      *
@@ -47,6 +82,15 @@
      * @throws BadCredential with the reason
      */
     public Good check(String token, KeyRing ring, long nowMs, String label) throws BadCredential {
+        return read(token, ring, nowMs, label).verify();
+    }
+
+    /**
+     * Checks all that is cheap to check.
+     *
+     * @throws BadCredential with the reason
+     */
+    public Claimed read(String token, KeyRing ring, long nowMs, String label) throws BadCredential {
         if (token.length() > MOST) {
             throw new BadCredential("the token is longer than " + MOST + " characters");
         }
@@ -70,21 +114,14 @@
         Map<String, Object> claims = claims(token.substring(one + 1, two));
         long until = times(claims, nowMs);
         about(claims);
-        try {
-            if (!key.verifier().verify(header, token.substring(0, two).getBytes(StandardCharsets.US_ASCII),
-                    new Base64URL(token.substring(two + 1)))) {
-                throw new BadCredential("the token's signature is wrong", true);
-            }
-        } catch (JOSEException e) {
-            throw new BadCredential("the token's signature cannot be checked", true);
-        }
         List<Identity.Name> names = new ArrayList<>();
         claims.forEach((k, v) -> {
             if (v instanceof String s) {
                 names.add(new Identity.Name("claim", k, s));
             }
         });
-        return new Good(new Identity(names, until, label), key);
+        return new Claimed(header, token.substring(0, two).getBytes(StandardCharsets.US_ASCII),
+                new Base64URL(token.substring(two + 1)), new Good(new Identity(names, until, label), key));
     }
 
     private static boolean inForm(int c) {
--- a/src/main/java/brooklock/edge/Dispatcher.java
+++ b/src/main/java/brooklock/edge/Dispatcher.java
@@ -37,6 +37,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -141,8 +142,17 @@
         List<Member> hosts = settings.hosts().stream().map(h -> new Member(h.name(), h.id(), h.kind(),
                 settings.zones().get(h.zone()).name(), h.address(), HostState.READY, h.weight(), 0)).toList();
         Membership.State first = saved;
+        // Nobody is let in before it is in force: who came earlier would find no hosts.
+        CountDownLatch inForce = new CountDownLatch(1);
         members("first list", m -> first == null ? m.settings(System.currentTimeMillis(), hosts) : m.restore(first),
-                ListKind.CACHED, null);
+                ListKind.CACHED, a -> inForce.countDown());
+        try {
+            if (!inForce.await(10, TimeUnit.SECONDS)) {
+                throw new IOException("the first list is not in force after ten seconds");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Takes a list, on the decision thread; {@code then} is told what came of it once it has been saved. */
@@ -207,11 +217,10 @@
             try {
                 Routes.Match match = routes.match(head.method(), head.host(), head.target(),
                         head.fields().get("Idempotency-Key") != null);
-                Gate.Pass pass = match.rights() ? gate.check(client, match) : null;
-                if (pass == null || pass.allowed()) {
-                    take(client, now, match, pass);
+                if (match.rights()) {
+                    gate.check(client, match, pass -> passed(client, now, match, pass));
                 } else {
-                    deny(client, pass);
+                    take(client, now, match, null);
                 }
             } catch (Routes.NoRoute e) {
                 turnAway(client, e.status, e.getMessage(), e.allow);
@@ -219,6 +228,21 @@
         }
     }
 
+    private void passed(ServerExchange client, long now, Routes.Match match, Gate.Pass pass) {
+        if (client.over()) {
+            // It left while its token was looked at.
+            return;
+        }
+        if (pass.allowed()) {
+            take(client, now, match, pass);
+        } else if (pass.status() == 503) {
+            counts.full.increment();
+            turnAway(client, 503, pass.why(), null);
+        } else {
+            deny(client, pass);
+        }
+    }
+
     // Why is for the audit log: a caller without rights learns no more than that.
     private void deny(ServerExchange client, Gate.Pass pass) {
         counts.turnedAway.increment();
--- a/src/main/java/brooklock/edge/Gate.java
+++ b/src/main/java/brooklock/edge/Gate.java
@@ -3,6 +3,7 @@
 import brooklock.config.Settings.Access;
 import brooklock.credentials.BadCredential;
 import brooklock.credentials.Certificates;
+import brooklock.credentials.CheckPool;
 import brooklock.credentials.ClientTrust;
 import brooklock.credentials.Identity;
 import brooklock.credentials.KeyRing;
@@ -12,6 +13,7 @@
 import brooklock.credentials.WallClock;
 import brooklock.credentials.Watched;
 import brooklock.http.Fields;
+import brooklock.net.IoLoop;
 import brooklock.net.Listener;
 import brooklock.net.ServerExchange;
 import brooklock.rights.Decision;
@@ -25,6 +27,7 @@
 import java.security.cert.X509Certificate;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import javax.net.ssl.SSLContext;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -59,6 +62,7 @@
     private final WallClock[] clocks;
     private final WallClock watchClock = new WallClock();
     private final Denials denials = new Denials(LOG);
+    private final CheckPool checks;
     private volatile boolean ending;
 
     Gate(Access access, int loops) throws IOException {
@@ -85,6 +89,8 @@
                 before -> ClientTrust.read(access.hostAuthorities(), List.of(), null, true, null));
         byte[] secret = new byte[32];
         new SecureRandom().nextBytes(secret);
+        // As many as I/O threads: what they did themselves before.
+        checks = new CheckPool("tokens", loops);
         books = new TokenBook[loops];
         clocks = new WallClock[loops];
         for (int i = 0; i < loops; i++) {
@@ -149,6 +155,7 @@
 
     void end() {
         ending = true;
+        checks.end();
     }
 
     /** The policy in force. */
@@ -158,47 +165,71 @@
 
     // ---- A request
 
-    Pass check(ServerExchange x, Routes.Match match) {
-        Pass p = look(x, match);
-        if (!p.allowed()) {
-            denials.add(p, x.head().method(), x.head().target(), x.peer().getAddress().getHostAddress());
-        }
-        return p;
+    /** Finds out whether a request may come in; tells it on the request's own thread, at once or a little later. */
+    void check(ServerExchange x, Routes.Match match, Consumer<Pass> then) {
+        look(x, match, p -> {
+            if (!p.allowed()) {
+                denials.add(p, x.head().method(), x.head().target(), x.peer().getAddress().getHostAddress());
+            }
+            then.accept(p);
+        });
     }
 
-    private Pass look(ServerExchange x, Routes.Match match) {
-        String target = x.head().target();
-        String form = PathForm.wrong(target);
+    private void look(ServerExchange x, Routes.Match match, Consumer<Pass> then) {
+        String form = PathForm.wrong(x.head().target());
         if (form != null) {
-            return new Pass(null, "-", null, 400, "the path is not in form: " + form);
+            then.accept(new Pass(null, "-", null, 400, "the path is not in form: " + form));
+            return;
         }
         Policy now = policy();
         long nowMs = clocks[x.loop().number()].ms();
-        Identity caller;
         try {
-            caller = caller(x, match, nowMs);
+            String token = ring == null || match.certificate() ? null : token(x.head().fields());
+            if (token == null) {
+                Identity caller = byCertificate(x, nowMs);
+                then.accept(caller == null ? new Pass(null, "-", null, 401, "no credential")
+                        : judge(x, match, now, caller, nowMs));
+                return;
+            }
+            IoLoop loop = x.loop();
+            books[loop.number()].look(token, ring.get(), x.peer().getAddress().getHostAddress(), nowMs,
+                    System.nanoTime(), (check, after) -> checks.take(() -> {
+                        check.run();
+                        loop.execute(after);
+                    }), new TokenBook.Taker() {
+                        @Override
+                        public void good(Identity caller) {
+                            then.accept(judge(x, match, now, caller, nowMs));
+                        }
+
+                        @Override
+                        public void bad(BadCredential why) {
+                            then.accept(new Pass(null, "-", null, 401, why.getMessage()));
+                        }
+
+                        @Override
+                        public void full() {
+                            then.accept(new Pass(null, "-", null, 503, "too many new tokens wait to be checked"));
+                        }
+                    });
         } catch (BadCredential e) {
-            return new Pass(null, "-", null, 401, e.getMessage());
-        }
-        if (caller == null) {
-            return new Pass(null, "-", null, 401, "no credential");
+            then.accept(new Pass(null, "-", null, 401, e.getMessage()));
         }
+    }
+
+    private static Pass judge(ServerExchange x, Routes.Match match, Policy now, Identity caller, long nowMs) {
         Tenant tenant = caller.tenant(now);
         if (tenant == null) {
             return new Pass(null, caller.label(), null, 403, "the caller is of no tenant");
         }
+        String target = x.head().target();
         int mark = target.indexOf('?');
         Decision d = now.decide(tenant.name(), x.head().method(), mark < 0 ? target : target.substring(0, mark),
                 match.line().name(), nowMs);
         return new Pass(tenant, caller.label(), d, d.allowed() ? 0 : 403, d.why());
     }
 
-    private Identity caller(ServerExchange x, Routes.Match match, long nowMs) throws BadCredential {
-        String token = ring == null || match.certificate() ? null : token(x.head().fields());
-        if (token != null) {
-            return books[x.loop().number()].look(token, ring.get(), x.peer().getAddress().getHostAddress(), nowMs,
-                    System.nanoTime());
-        }
+    private Identity byCertificate(ServerExchange x, long nowMs) throws BadCredential {
         X509Certificate[] chain = trust == null ? null : x.certificates();
         if (chain == null) {
             return null;
@@ -253,6 +284,7 @@
         if (ring != null) {
             ring.get().all().forEach(k -> s.append("key ").append(k.kid()).append(' ').append(k.state()).append('\n'));
         }
+        s.append("token-checks-waiting ").append(checks.waiting()).append('\n');
         s.append("denied ").append(denials.total()).append('\n');
     }
 }
--- a/src/test/java/brooklock/credentials/TokenTest.java
+++ b/src/test/java/brooklock/credentials/TokenTest.java
@@ -148,30 +148,96 @@
         int checked = 0;
         for (int i = 0; i < 200; i++) {
             String forged = TokenMaker.make(RSA.getPrivate(), Map.of("alg", "EdDSA", "kid", "ed"), claims("n", "" + i));
-            String reason = assertThrows(BadCredential.class, () -> book.look(forged, RING, "1.2.3.4", NOW, 1))
+            String reason = assertThrows(BadCredential.class, () -> AtOnce.look(book, forged, RING, "1.2.3.4", NOW, 1))
                     .getMessage();
             checked += reason.equals("the token's signature is wrong") ? 1 : 0;
         }
         assertEquals(10, checked);
         String good = token();
-        assertThrows(BadCredential.class, () -> book.look(good, RING, "1.2.3.4", NOW, 2), "guesses from there cost all");
-        assertTrue(book.look(good, RING, "5.6.7.8", NOW, 2) != null);
-        assertTrue(book.look(good, RING, "1.2.3.4", NOW, 3) != null, "a token that is known costs nothing");
-        assertThrows(BadCredential.class, () -> book.look(good, RING, "5.6.7.8", NOW + 91_000, 4), "forgotten at its end");
+        assertThrows(BadCredential.class, () -> AtOnce.look(book, good, RING, "1.2.3.4", NOW, 2), "guesses from there cost all");
+        assertTrue(AtOnce.look(book, good, RING, "5.6.7.8", NOW, 2) != null);
+        assertTrue(AtOnce.look(book, good, RING, "1.2.3.4", NOW, 3) != null, "a token that is known costs nothing");
+        assertThrows(BadCredential.class, () -> AtOnce.look(book, good, RING, "5.6.7.8", NOW + 91_000, 4), "forgotten at its end");
+    }
+
+    /** What a book told, and how often. */
+    private static final class Heard implements TokenBook.Taker {
+        Identity good;
+        BadCredential bad;
+        int full;
+        int told;
+
+        @Override
+        public void good(Identity caller) {
+            good = caller;
+            told++;
+        }
+
+        @Override
+        public void bad(BadCredential why) {
+            bad = why;
+            told++;
+        }
+
+        @Override
+        public void full() {
+            full++;
+            told++;
+        }
+    }
+
+    @Test
+    void aCheckUnderWayIsSharedBoundedAndToldOnce() throws BadCredential {
+        TokenBook book = new TokenBook(CHECK, new byte[32]);
+        List<Runnable> checks = new ArrayList<>();
+        List<Runnable> afters = new ArrayList<>();
+        TokenBook.Checker later = (check, after) -> checks.add(check) && afters.add(after);
+        String good = token();
+        List<Heard> all = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            all.add(new Heard());
+            book.look(good, RING, "a" + i % 2, NOW, 1, later, all.get(i));
+        }
+        assertEquals(1, checks.size(), "six came with the same new token");
+        checks.get(0).run();
+        assertTrue(all.stream().allMatch(h -> h.told == 0), "nobody is told on the checker's thread");
+        afters.get(0).run();
+        assertTrue(all.stream().allMatch(h -> h.told == 1 && h.good != null));
+        int refused = 0;
+        List<Heard> many = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            Heard h = new Heard();
+            many.add(h);
+            book.look(token("n", "" + i), RING, "b", NOW, 1, later, h);
+            refused += h.full;
+        }
+        assertEquals(36, refused, "an address has 64 checks under way at most");
+        Heard other = new Heard();
+        book.look(token("n", "x"), RING, "c", NOW, 1, (check, after) -> false, other);
+        assertEquals(1, other.full, "the pool is full");
+        for (int i = 1; i < checks.size(); i++) {
+            checks.get(i).run();
+            afters.get(i).run();
+        }
+        assertTrue(many.stream().allMatch(h -> h.told == 1));
+        Heard again = new Heard();
+        book.look(token("n", "y"), RING, "b", NOW, 1, later, again);
+        assertEquals(0, again.told, "there is room again");
+        assertEquals(66, checks.size());
     }
 
     @Test
     void aKnownTokenIsForgottenWithItsKey() throws BadCredential {
         TokenBook book = new TokenBook(CHECK, new byte[32]);
         String good = token();
-        book.look(good, RING, "a", NOW, 1);
+        AtOnce.look(book, good, RING, "a", NOW, 1);
         KeyRing retired = KeyRing.parse(set(KeyFile.entry("ed", "EdDSA", ED, KeyRing.State.RETIRED)));
-        assertThrows(BadCredential.class, () -> book.look(good, retired, "a", NOW, 2));
+        assertThrows(BadCredential.class, () -> AtOnce.look(book, good, retired, "a", NOW, 2));
         Map<String, Object> ending = KeyFile.entry("ed", "EdDSA", ED, KeyRing.State.ACCEPTED);
         ending.put("until", NOW + 1000);
         KeyRing soon = KeyRing.parse(set(ending));
-        book.look(good, soon, "a", NOW + 999, 3);
-        assertThrows(BadCredential.class, () -> book.look(good, soon, "a", NOW + 1000, 4));
+        AtOnce.look(book, good, soon, "a", NOW + 999, 3);
+        assertThrows(BadCredential.class, () -> AtOnce.look(book, good, soon, "a", NOW + 1000, 4));
         assertFalse(book.label(good).contains(good.substring(0, 10)));
         assertNotEquals(book.label(good), book.label(token("n", "2")));
     }
--- a/src/test/java/brooklock/rights/NewestPolicyPropertyTest.java
+++ b/src/test/java/brooklock/rights/NewestPolicyPropertyTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import brooklock.config.SettingsException;
+import brooklock.credentials.AtOnce;
 import brooklock.credentials.BadCredential;
 import brooklock.credentials.Identity;
 import brooklock.credentials.KeyFile;
@@ -72,7 +73,7 @@
                 policy = policy(may);
             } else if (retired[a]) {
                 KeyRing now = ring;
-                assertThrows(BadCredential.class, () -> book.look(token(a, t), now, "x", NOW, 1));
+                assertThrows(BadCredential.class, () -> AtOnce.look(book, token(a, t), now, "x", NOW, 1));
             } else {
                 Decision d = decide(book, ring, policy, a, t, o);
                 assertTrue(may[t][o] == d.allowed(), d.why());
@@ -83,7 +84,7 @@
 
     private static Decision decide(TokenBook book, KeyRing ring, Policy policy, int key, int tenant, int object) {
         try {
-            Identity i = book.look(token(key, tenant), ring, "x", NOW, 1);
+            Identity i = AtOnce.look(book, token(key, tenant), ring, "x", NOW, 1);
             return policy.decide(i.tenant(policy).name(), "GET", "/o" + object, "c", NOW);
         } catch (BadCredential e) {
             throw new AssertionError(e);
