--- a/src/main/java/brooklock/standin/StandInHost.java
+++ b/src/main/java/brooklock/standin/StandInHost.java
@@ -23,6 +23,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.ToDoubleFunction;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -47,21 +49,23 @@
     private final UniformRandomProvider random;
     private final Pressure pressure;
     private final Map<Copy.Key, List<Fill>> fills = new HashMap<>();
+    // Keys of the fills, for readers on other threads.
+    private final Set<Copy.Key> underWay = ConcurrentHashMap.newKeySet();
     private final Map<String, Long> effects = new HashMap<>();
     private final Map<Long, Long> purgedObjects = new HashMap<>();
     private final Map<Integer, Long> purgedGroups = new HashMap<>();
-    private Store store;
+    private volatile Store store;
     private Listener listener;
     private InetSocketAddress address;
     private volatile long startedMs;
     private volatile boolean fallen;
-    private boolean alive = true;
-    private int held;
-    private int transfers;
+    private volatile boolean alive = true;
+    private volatile int held;
+    private volatile int transfers;
     private long hits;
     private long asked;
-    private double recentCalls;
-    private long recentAt;
+    private volatile double recentCalls;
+    private volatile long recentAt;
     /** What ails it. */
     public final Faults faults = new Faults();
 
@@ -129,6 +133,41 @@
         return fallen;
     }
 
+    // ---- What it is really like, for a yardstick; read from other threads
+
+    /** Whether it takes requests and answers them. */
+    public boolean up() {
+        return alive && !fallen && !faults.silent;
+    }
+
+    /** Share of 1 of its nearer bound that is used up: places, calls a second. */
+    public double used() {
+        double calls = model.rate() <= 0 ? 0
+                : recentCalls * Math.exp((recentAt - System.nanoTime()) / 1e9) / model.rate();
+        return Math.max(held / (double) model.slots(), calls);
+    }
+
+    /** Share of 1 of what it bears while it is cold that has reached it; 0 where it is warm. */
+    public double pressed() {
+        return pressure.used(System.nanoTime());
+    }
+
+    /** Whether a part is on its way to it now, so that a request would join. */
+    public boolean filling(long object, int part) {
+        return underWay.contains(new Copy.Key(object, part));
+    }
+
+    /** Pace that one transfer more would get, as a share of the full one. */
+    public double paceOfOneMore() {
+        return Math.min(1, model.flows() * pressure.warmth(System.nanoTime()) / (transfers + 1)) / faults.slower;
+    }
+
+    /** Age of the copy that it holds of a part, ns; -1 where it holds none. */
+    public long ageOf(long object, int part) {
+        Copy c = store.peek(new Copy.Key(object, part));
+        return c == null ? -1 : System.nanoTime() - c.bornNs();
+    }
+
     // ---- What is done to it
 
     private void here(Runnable work) {
@@ -153,6 +192,7 @@
             alive = false;
             listener.close();
             fills.clear();
+            underWay.clear();
         });
     }
 
@@ -310,6 +350,7 @@
         Fill fill = new Fill(System.nanoTime());
         fill.waiters.add(new Waiter(x, a, s, cameNs, leave, false));
         running.add(fill);
+        underWay.add(a.copyKey());
         boolean atParent = model.role() == HostModel.Role.PARENT;
         InetSocketAddress to = atParent ? origin : a.at();
         RequestHead head = x.head();
@@ -406,6 +447,7 @@
                 running.remove(fill);
                 if (running.isEmpty()) {
                     fills.remove(a.copyKey());
+                    underWay.remove(a.copyKey());
                 }
             }
             return fill.waiters;
--- a/src/main/java/brooklock/standin/Store.java
+++ b/src/main/java/brooklock/standin/Store.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
 
 /** Bounded storage by rank: the lowest rank goes first, in a rank what was used longest ago; never for a lower one. */
@@ -11,6 +12,8 @@
 
     private final int most;
     private final Map<Copy.Key, Integer> rankOf = new HashMap<>();
+    // What is held, for readers on other threads.
+    private final Map<Copy.Key, Copy> held = new ConcurrentHashMap<>();
     private final LinkedHashMap<Copy.Key, Copy>[] ranks;
 
     @SuppressWarnings({"unchecked", "rawtypes"})
@@ -37,6 +40,11 @@
         return c;
     }
 
+    /** A copy that is held, not used by this; from any thread. */
+    Copy peek(Copy.Key key) {
+        return held.get(key);
+    }
+
     void keep(Copy c, int rank) {
         if (rank <= 0) {
             return;
@@ -50,10 +58,12 @@
         if (rankOf.size() < most) {
             ranks[rank].put(c.key(), c);
             rankOf.put(c.key(), rank);
+            held.put(c.key(), c);
         }
     }
 
     private void drop(Copy.Key key) {
+        held.remove(key);
         Integer at = rankOf.remove(key);
         if (at != null) {
             ranks[at].remove(key);
@@ -62,7 +72,7 @@
 
     void dropIf(Predicate<Copy> which) {
         for (LinkedHashMap<Copy.Key, Copy> r : ranks) {
-            r.values().removeIf(c -> which.test(c) && rankOf.remove(c.key()) != null);
+            r.values().removeIf(c -> which.test(c) && rankOf.remove(c.key()) != null && held.remove(c.key()) != null);
         }
     }
 
