--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -419,7 +419,7 @@
 
     // Caches of the own location by rendezvous hashing, each passed over if it ails, is cold or too busy.
     private Host pickEdge(Req q) {
-        long copy = mix(q.ask.object() * 31 + q.ask.part());
+        long copy = copy(q.ask.object(), q.ask.part());
         double load = 0;
         double weight = 0;
         for (Host h : edges) {
@@ -458,7 +458,7 @@
     }
 
     private Host bestParent(Req q, List<Host> parents) {
-        long copy = mix(q.ask.object() * 31 + q.ask.part());
+        long copy = copy(q.ask.object(), q.ask.part());
         return parents.stream().filter(h -> affordable(h, q))
                 .max(Comparator.comparingDouble(h -> score(copy, h) - 1e6 * unwanted(q, h))).orElse(null);
     }
@@ -493,8 +493,18 @@
     }
 
     private double score(long copy, Host h) {
-        double u = ((mix(copy ^ mix(h.entry.host())) >>> 11) + 0.5) / (1L << 53);
-        return -weight(h) / Math.log(u);
+        return score(copy, h.entry.host(), weight(h));
+    }
+
+    /** How near a host is to a copy; the nearest holds it. */
+    public static double score(long copy, long host, double weight) {
+        double u = ((mix(copy ^ mix(host)) >>> 11) + 0.5) / (1L << 53);
+        return -weight / Math.log(u);
+    }
+
+    /** What a part of an object is hashed by. */
+    public static long copy(long object, int part) {
+        return mix(object * 31 + part);
     }
 
     private static long mix(long x) {
--- a/src/main/java/brooklock/config/Settings.java
+++ b/src/main/java/brooklock/config/Settings.java
@@ -21,10 +21,11 @@
  * @param fleet what holds for the whole fleet
  * @param files where things are written
  * @param access who may come in and how that is found out
+ * @param warming whether and how caches may fill from one another
  */
 public record Settings(String name, InetSocketAddress listen, InetSocketAddress control, List<Zone> zones, int here,
         int dispatchers, List<HostLine> hosts, List<ClassLine> classes, List<RouteLine> routes, Bounds limits,
-        Guards guards, Fleet fleet, Files files, Access access) {
+        Guards guards, Fleet fleet, Files files, Access access, Warming warming) {
 
     /** What a host is for. */
     public enum Kind { CACHE, PARENT, ORIGIN }
@@ -109,6 +110,19 @@
     public record Fleet(double pace, boolean joins, boolean direct, boolean second, boolean weighted) {
     }
 
+    /**
+     * Whether caches may fill from one another.
+     *
+     * @param allowed they may
+     * @param anyZone across locations too
+     * @param share what warming may ask of a neighbour, of what this dispatcher sends it itself
+     * @param saved where what was learned is written down; null for nowhere
+     */
+    public record Warming(boolean allowed, boolean anyZone, double share, Path saved) {
+        /** They may not. */
+        public static final Warming NONE = new Warming(false, false, 0.1, null);
+    }
+
     /** Where things are written; null where they are not. */
     public record Files(Path list, Path answers, Path trace, long traceBytes) {
     }
--- a/src/main/java/brooklock/config/SettingsReader.java
+++ b/src/main/java/brooklock/config/SettingsReader.java
@@ -51,6 +51,7 @@
     private Guards guards = new Guards(0.2, 20 * S, 2, 1500 * MS, 0.05, 20 * S, 2, 6 * S, S, 500 * MS);
     private Fleet fleet = new Fleet(5e6, true, true, true, false);
     private Files files = new Files(null, null, null, 0);
+    private Settings.Warming warming = Settings.Warming.NONE;
 
     private SettingsReader(String file, Path base) {
         this.file = file;
@@ -104,7 +105,7 @@
             throw new SettingsException(problems);
         }
         return new Settings(name, listen, control, zones(), zoneIndex(here), dispatchers, List.copyOf(hosts),
-                List.copyOf(classes.values()), List.copyOf(routes), limits.bounds(), guards, fleet, files, access.access());
+                List.copyOf(classes.values()), List.copyOf(routes), limits.bounds(), guards, fleet, files, access.access(), warming);
     }
 
     private interface Work<T> {
@@ -142,6 +143,7 @@
                     access.read(verb, l);
             case "guards" -> guards(l);
             case "fleet" -> fleet(l);
+            case "warming" -> warming(once(l, verb));
             case "list" -> files = new Files(path(once(l, verb)), files.answers(), files.trace(), files.traceBytes());
             case "answers" -> files = new Files(files.list(), path(once(l, verb)), files.trace(), files.traceBytes());
             case "trace" -> files = new Files(files.list(), files.answers(), path(once(l, verb)),
@@ -379,6 +381,24 @@
         fleet = f;
     }
 
+    private void warming(Line l) {
+        String from = l.word("from whom: zone, all or no");
+        if (!List.of("zone", "all", "no").contains(from)) {
+            throw new IllegalArgumentException("'" + from + "': caches fill from neighbours of their zone, of all, or no");
+        }
+        double share = warming.share();
+        Path saved = null;
+        while (l.more()) {
+            String word = l.word("an option");
+            switch (word) {
+                case "share" -> share = share(l);
+                case "saved" -> saved = path(l);
+                default -> throw new IllegalArgumentException("'" + word + "' is not an option of warming (share, saved)");
+            }
+        }
+        warming = new Settings.Warming(!from.equals("no"), from.equals("all"), share, saved);
+    }
+
     // ---- The whole
 
     private int zoneIndex(String zone) {
--- a/src/main/java/brooklock/edge/AnswerReading.java
+++ b/src/main/java/brooklock/edge/AnswerReading.java
@@ -63,6 +63,10 @@
         if (m.flag("collapsed")) {
             return Note.JOINED;
         }
+        if ("neighbour".equals(m.parameters().get("detail"))) {
+            // The source that the module named had no part in it.
+            return Note.JOINED;
+        }
         if (!m.parameters().containsKey("fwd")) {
             return Note.NONE;
         }
--- a/src/main/java/brooklock/edge/Attempt.java
+++ b/src/main/java/brooklock/edge/Attempt.java
@@ -9,10 +9,12 @@
 import brooklock.http.Framing;
 import brooklock.http.RequestHead;
 import brooklock.http.ResponseHead;
+import brooklock.config.Settings.ClassLine;
 import brooklock.members.Member;
 import brooklock.net.AnswerTaker;
 import brooklock.net.ClientCall;
 import brooklock.net.Failure;
+import brooklock.warming.Report;
 import java.nio.ByteBuffer;
 import org.xnio.XnioExecutor;
 
@@ -20,12 +22,15 @@
 final class Attempt implements AnswerTaker {
     final int number;
     final Get get;
+    private final long first;
     private final Exchange exchange;
     private final Dispatcher edge;
     private final long sentAt;
     private ClientCall call;
     private XnioExecutor.Key timer;
     private AnswerReading reading;
+    private Report report;
+    private String firstGave;
     private boolean winner;
     private boolean over;
     private long heldSince;
@@ -33,8 +38,9 @@
     private Outcome outcome;
     private long tookNs;
 
-    Attempt(Exchange exchange, int number, Get get) {
+    Attempt(Exchange exchange, int number, Get get, long first) {
         this.exchange = exchange;
+        this.first = first;
         this.edge = exchange.edge;
         this.number = number;
         this.get = get;
@@ -44,12 +50,13 @@
     void send() {
         Member host = edge.book.get(get.host());
         Member source = edge.book.get(get.source());
+        Member neighbour = first == 0 ? null : edge.book.get(first);
         if (host == null || source == null || !mayGo()) {
             finish(Outcome.MOOT, Note.NONE, 0);
             return;
         }
         timer = exchange.client.loop().after(get.limitNs(), this::overdue);
-        RequestHead head = Upstream.head(exchange, number, get, host, source, edge.settings.name());
+        RequestHead head = Upstream.head(exchange, number, get, host, source, neighbour, edge.settings.name());
         ClientCall mine = edge.client(exchange.client.loop()).call(host.address(), head, exchange.body, this);
         call = mine;
     }
@@ -57,7 +64,8 @@
     /** Rule 3, at the last moment: a connection may have been waited for while the host or the source left. */
     @Override
     public boolean mayGo() {
-        return edge.book.ready(get.host()) && edge.book.ready(get.source()) && !exchange.closed();
+        return edge.book.ready(get.host()) && edge.book.ready(get.source()) && (first == 0 || edge.book.ready(first))
+                && !exchange.closed();
     }
 
     // ---- What the host answers
@@ -65,6 +73,10 @@
     @Override
     public void head(ResponseHead head, Framing framing, boolean whole) {
         reading = AnswerReading.of(head);
+        if (edge.warmer() != null) {
+            report = Warmer.report(head.fields(), sentAt, edge.clock.now());
+            firstGave = head.fields().get("Brooklock-First");
+        }
         if (reading.outcome() == Outcome.OK && exchange.closed()) {
             cancel();
         } else if (reading.outcome() == Outcome.OK) {
@@ -171,8 +183,14 @@
         }
         long now = edge.clock.now();
         tookNs = now - sentAt - heldNs - (heldSince > 0 ? now - heldSince : 0);
-        edge.decisions.tell(new Done(exchange.id, number, get.host(), how, note, tookNs, waitedNs,
-                how == Outcome.OK || winner));
+        Done done = new Done(exchange.id, number, get.host(), how, note, tookNs, waitedNs, how == Outcome.OK || winner);
+        if (edge.warmer() == null) {
+            edge.decisions.tell(done);
+        } else {
+            ClassLine c = exchange.match.line();
+            boolean late = tookNs > c.aimNs() + c.stretch() * exchange.bytes / edge.settings.fleet().pace() * 1e9;
+            edge.decisions.tell(done, () -> edge.warmer().ended(done, first, report, firstGave, late));
+        }
         exchange.ended(this);
     }
 
--- a/src/main/java/brooklock/edge/Control.java
+++ b/src/main/java/brooklock/edge/Control.java
@@ -95,8 +95,14 @@
             int group = query.containsKey("group") ? Routes.group(query.get("group")) : 0;
             long object = query.containsKey("group") ? 0 : object(query.get("url"));
             long came = edge.clock.now();
-            edge.decisions.make(() -> new Purged(object, group, edge.clock.now() - came
-                    + moments.ago(group + " " + object + " " + at, came, agoNs)), () -> x.loop().execute(() -> answer(x, 200, "purged")));
+            edge.decisions.make(() -> {
+                Purged p = new Purged(object, group, edge.clock.now() - came
+                        + moments.ago(group + " " + object + " " + at, came, agoNs));
+                if (edge.warmer() != null) {
+                    edge.warmer().purged(p.object(), p.group(), p.agoNs());
+                }
+                return p;
+            }, () -> x.loop().execute(() -> answer(x, 200, "purged")));
         } catch (IllegalArgumentException e) {
             answer(x, 400, e.getMessage());
         }
--- a/src/main/java/brooklock/edge/Dispatcher.java
+++ b/src/main/java/brooklock/edge/Dispatcher.java
@@ -4,6 +4,7 @@
 import brooklock.RouterApi.Cancel;
 import brooklock.RouterApi.Fail;
 import brooklock.RouterApi.Get;
+import brooklock.RouterApi.HostList;
 import brooklock.RouterApi.HostState;
 import brooklock.RouterApi.ListKind;
 import brooklock.RouterApi.Refuse;
@@ -72,9 +73,12 @@
     // The decision thread's own, as what it counts.
     private final Limiter limiter = new Limiter();
     private Policy limited;
+    // Null where caches may not fill from one another.
+    private final Warmer warmer;
     private final Listener listener;
     private final Listener control;
     private volatile boolean draining;
+    private volatile boolean ended;
 
     @SuppressWarnings({"unchecked", "rawtypes"})
     private Dispatcher(Settings settings, Function<brooklock.RouterApi.Settings, Decider> decider) throws IOException {
@@ -99,8 +103,12 @@
                 clients[i] = new Client(net.loop(i), limits, toHosts);
                 batches[i] = new ArrayList<>();
             }
+            warmer = settings.warming().allowed() ? new Warmer(this) : null;
             decisions.start();
             firstList();
+            if (warmer != null) {
+                warmer.begin();
+            }
             control = Listener.open(net, settings.control(), ServerLimits.STANDARD.withConnections(64),
                     new Control(this)::request);
             ServerLimits bounds = new ServerLimits(HttpLimits.STANDARD.withBody(b.body()), b.clients(), 1024,
@@ -179,7 +187,7 @@
                     came[0].full() ? came[0].told().size() + " hosts" : came[0].told().stream()
                     .map(m -> m.name() + " " + m.state()).toList()).log("list");
             dropIdle(came[0].told());
-            return book.news(came[0], kind);
+            return told(book.news(came[0], kind));
         }, () -> keeper.save(book.state(), problem -> {
             if (then != null) {
                 then.accept(problem == null || !came[0].taken() ? came[0] : came[0].unsaved(problem));
@@ -187,6 +195,11 @@
         }));
     }
 
+    // What the module hears of a list.
+    private HostList told(HostList news) {
+        return warmer == null ? news : warmer.heard(news);
+    }
+
     private void dropIdle(Collection<Member> changes) {
         for (Member m : changes) {
             if (m.state() != HostState.READY) {
@@ -198,6 +211,27 @@
         }
     }
 
+    IoLoop loop(int i) {
+        return net.loop(i);
+    }
+
+    int loops() {
+        return net.size();
+    }
+
+    boolean ended() {
+        return ended;
+    }
+
+    /** Work with files, beside the traffic. */
+    void background(Runnable work) {
+        keeper.beside(work);
+    }
+
+    Warmer warmer() {
+        return warmer;
+    }
+
     Client client(IoLoop loop) {
         return clients[loop.number()];
     }
@@ -327,6 +361,9 @@
             x.admitted = true;
         }
         exchanges.put(x.id, x);
+        if (warmer != null) {
+            warmer.asked(x);
+        }
         return true;
     }
 
@@ -363,7 +400,9 @@
         @Override
         public void act(Action a) {
             if (a instanceof Get g) {
-                on(g.id(), x -> x.get(g));
+                Exchange asked = warmer == null ? null : exchanges.get(g.id());
+                long first = asked == null ? 0 : warmer.neighbour(g, asked);
+                on(g.id(), x -> x.get(g, first));
             } else if (a instanceof Refuse r) {
                 on(r.id(), x -> x.refuse(r));
             } else if (a instanceof Fail f) {
@@ -371,7 +410,7 @@
             } else if (a instanceof Cancel c) {
                 on(c.id(), x -> x.cancel(c.attempt()));
             } else if (a instanceof Watch) {
-                decisions.make(() -> book.everything(ListKind.FULL), () -> { });
+                decisions.make(() -> told(book.everything(ListKind.FULL)), () -> { });
             }
         }
 
@@ -425,6 +464,9 @@
                 .append("decision-overflows ").append(decisions.overflows()).append('\n');
         counts.write(s);
         gate.state(s);
+        if (warmer != null) {
+            warmer.state(s);
+        }
         book.state().sources().values().forEach(v -> s.append(v).append(" heard-ms-ago ")
                 .append(Math.max(0, System.currentTimeMillis() - v.heardMs())).append('\n'));
         book.state().byHand().forEach((id, word) -> s.append("by-hand ").append(book.get(id).name()).append(' ')
@@ -460,6 +502,7 @@
     /** Ends at once; what is open is broken off. */
     @Override
     public void close() {
+        ended = true;
         if (listener != null) {
             listener.close();
         }
--- a/src/main/java/brooklock/edge/Exchange.java
+++ b/src/main/java/brooklock/edge/Exchange.java
@@ -63,8 +63,9 @@
 
     // ---- What the module says
 
-    void get(Get g) {
-        Attempt a = new Attempt(this, attempts.size(), g);
+    /** Sends an attempt; {@code first} is the neighbour that a miss is to be filled from first, 0 for none. */
+    void get(Get g, long first) {
+        Attempt a = new Attempt(this, attempts.size(), g, first);
         attempts.add(a);
         open++;
         if (closed) {
--- /dev/null
+++ b/src/main/java/brooklock/edge/FetchAhead.java
@@ -0,0 +1,68 @@
+package brooklock.edge;
+
+import brooklock.http.Fields;
+import brooklock.http.Framing;
+import brooklock.http.ResponseHead;
+import brooklock.net.AnswerTaker;
+import brooklock.net.Failure;
+import java.nio.ByteBuffer;
+
+/** One fetch ahead on its way; ends once, by an answer, a failure or its time. */
+final class FetchAhead implements AnswerTaker {
+    /** Longest that one may take, ns. */
+    static final long MOST_NS = 2_000_000_000L;
+
+    /** Told the status, 0 for none, the answer's fields, and when it was sent. */
+    interface Ended {
+        void with(int status, Fields fields, long sentAt);
+    }
+
+    private final Dispatcher edge;
+    private final long host;
+    private final long source;
+    private final Ended ended;
+    private final long sentAt;
+    private ResponseHead head;
+    private boolean over;
+
+    FetchAhead(Dispatcher edge, long host, long source, Ended ended) {
+        this.edge = edge;
+        this.host = host;
+        this.source = source;
+        this.ended = ended;
+        sentAt = edge.clock.now();
+    }
+
+    /** Rule 3, at the last moment, as for any attempt. */
+    @Override
+    public boolean mayGo() {
+        return edge.book.ready(host) && edge.book.ready(source) && edge.clock.now() - sentAt < MOST_NS;
+    }
+
+    @Override
+    public void head(ResponseHead h, Framing framing, boolean whole) {
+        head = h;
+    }
+
+    @Override
+    public boolean data(ByteBuffer piece) {
+        return true;
+    }
+
+    @Override
+    public void end(Fields trailers) {
+        over(edge.clock.now() - sentAt < MOST_NS ? head.status() : 0);
+    }
+
+    @Override
+    public void failed(Failure failure, String why) {
+        over(0);
+    }
+
+    private void over(int status) {
+        if (!over) {
+            over = true;
+            ended.with(status, head == null ? null : head.fields(), sentAt);
+        }
+    }
+}
--- a/src/main/java/brooklock/edge/ListKeeper.java
+++ b/src/main/java/brooklock/edge/ListKeeper.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.slf4j.Logger;
@@ -70,6 +71,15 @@
         }
     }
 
+    /** Other work with files, on the same thread; dropped once this is closed. */
+    void beside(Runnable work) {
+        try {
+            writer.execute(work);
+        } catch (RejectedExecutionException closed) {
+            // The program ends.
+        }
+    }
+
     void close() {
         writer.shutdown();
         try {
--- a/src/main/java/brooklock/edge/ModuleSettings.java
+++ b/src/main/java/brooklock/edge/ModuleSettings.java
@@ -22,7 +22,8 @@
                 new RouterApi.Guards(g.coldFrom(), g.coldNs(), g.fallMultiple(), g.overloadNs(), g.parentColdFrom(),
                         g.parentColdNs(), g.parentFallMultiple(), g.purgeDoneNs()),
                 s.dispatchers(), s.here(), s.zones().stream().map(Settings.Zone::hub).toList(), Kind.PARENT.ordinal(),
-                Kind.ORIGIN.ordinal(), s.fleet().weighted(), false, s.fleet().joins(), s.fleet().direct(),
+                Kind.ORIGIN.ordinal(), s.fleet().weighted() || s.warming().allowed(), false,
+                s.fleet().joins(), s.fleet().direct(),
                 s.fleet().pace() / 1000, s.limits().tickNs());
     }
 }
--- a/src/main/java/brooklock/edge/Upstream.java
+++ b/src/main/java/brooklock/edge/Upstream.java
@@ -21,7 +21,8 @@
     private Upstream() {
     }
 
-    static RequestHead head(Exchange x, int number, Get g, Member host, Member source, String name) {
+    static RequestHead head(Exchange x, int number, Get g, Member host, Member source, Member first,
+            String name) {
         RequestHead asked = x.client.head();
         Fields f = Forwarding.endToEnd(asked.fields());
         f.removeIf(n -> {
@@ -52,9 +53,10 @@
                 + x.match.group() + ", class=" + cls.name() + (cls.through() ? ", through" : ""));
         StringBuilder get = new StringBuilder("keep=").append(g.keep());
         if (fills) {
-            get.append(", source=").append(source.name()).append(", at=\"")
-                    .append(source.address().getAddress().getHostAddress()).append(':')
-                    .append(source.address().getPort()).append('"');
+            get.append(", source=").append(source.name()).append(", at=").append(at(source));
+            if (first != null) {
+                get.append(", first=").append(first.name()).append(", first-at=").append(at(first));
+            }
         }
         if (oldest > 0) {
             get.append(", oldest=").append(oldest / 1000);
@@ -65,4 +67,9 @@
         return new RequestHead(asked.method(), asked.target(), asked.host().isEmpty() ? host.name() : asked.host(), 1,
                 f);
     }
+
+    /** A host's address as it stands in Brooklock-Get. */
+    static String at(Member m) {
+        return "\"" + m.address().getAddress().getHostAddress() + ':' + m.address().getPort() + '"';
+    }
 }
--- a/src/main/java/brooklock/rehearsal/Script.java
+++ b/src/main/java/brooklock/rehearsal/Script.java
@@ -160,7 +160,7 @@
             case "zone" -> places.add(new Place(l.word("a name"), l.count("a number of caches"),
                     l.count("a number of dispatchers")));
             case "ask" -> ask(l);
-            case "class", "guards", "limits" -> {
+            case "class", "guards", "limits", "warming" -> {
                 rows.add(row);
                 rowLines.add(number);
                 if (verb.equals("class") && l.more()) {
--- a/src/main/java/brooklock/standin/Ask.java
+++ b/src/main/java/brooklock/standin/Ask.java
@@ -16,8 +16,8 @@
  * @param oldestNs no copy older than this; 0 for any age
  */
 record Ask(String from, String by, String request, int attempt, long object, int part, int group, String cls,
-        boolean through, int keep, String source, InetSocketAddress at, long oldestNs, boolean join, boolean heldOnly,
-        String key) {
+        boolean through, int keep, String source, InetSocketAddress at, String first, InetSocketAddress firstAt,
+        long oldestNs, boolean join, boolean heldOnly, boolean fetch, String key) {
 
     static Ask of(RequestHead head) {
         Fields f = head.fields();
@@ -25,17 +25,20 @@
         Map<String, String> get = words(f.get("Brooklock-Get"));
         Map<String, String> attempt = words(f.get("Brooklock-Attempt"));
         String[] via = f.joined("Via") == null ? new String[] {"- -"} : f.joined("Via").split(", *");
-        String at = get.get("at");
         return new Ask(name(via[0]), name(via[via.length - 1]), f.get("X-Request-Id"),
                 Integer.parseInt(attempt.getOrDefault("try", "0")),
                 Long.parseUnsignedLong(copy.getOrDefault("object", "0"), 16),
                 Integer.parseInt(copy.getOrDefault("part", "0")), Integer.parseInt(copy.getOrDefault("group", "0")),
                 copy.getOrDefault("class", "-"), copy.containsKey("through"),
                 Integer.parseInt(get.getOrDefault("keep", "0")), get.get("source"),
-                at == null ? null : new InetSocketAddress(at.substring(0, at.lastIndexOf(':')),
-                        Integer.parseInt(at.substring(at.lastIndexOf(':') + 1))),
+                address(get.get("at")), get.get("first"), address(get.get("first-at")),
                 Long.parseLong(get.getOrDefault("oldest", "0")) * 1000, get.containsKey("join"),
-                get.containsKey("held-only"), f.get("Idempotency-Key"));
+                get.containsKey("held-only"), get.containsKey("fetch"), f.get("Idempotency-Key"));
+    }
+
+    private static InetSocketAddress address(String at) {
+        return at == null ? null : new InetSocketAddress(at.substring(0, at.lastIndexOf(':')),
+                Integer.parseInt(at.substring(at.lastIndexOf(':') + 1)));
     }
 
     private static String name(String via) {
--- a/src/main/java/brooklock/standin/StandInHost.java
+++ b/src/main/java/brooklock/standin/StandInHost.java
@@ -333,8 +333,10 @@
     }
 
     private static final class Fill {
-        final long sentNs;
         final List<Waiter> waiters = new ArrayList<>();
+        long sentNs;
+        // How the neighbour that was asked first answered; null where none was.
+        String first;
 
         Fill(long sentNs) {
             this.sentNs = sentNs;
@@ -351,28 +353,53 @@
         fill.waiters.add(new Waiter(x, a, s, cameNs, leave, false));
         running.add(fill);
         underWay.add(a.copyKey());
+        if (a.first() != null && !a.through()) {
+            fill.first = "asked";
+            ask(a.firstAt(), x.head(), a, "keep=0", cameNs, new Filler(x.head(), a, fill, cameNs));
+        } else {
+            askSource(x.head(), a, fill, cameNs);
+        }
+    }
+
+    private void askSource(RequestHead head, Ask a, Fill fill, long cameNs) {
+        fill.sentNs = System.nanoTime();
         boolean atParent = model.role() == HostModel.Role.PARENT;
-        InetSocketAddress to = atParent ? origin : a.at();
-        RequestHead head = x.head();
+        ask(atParent ? origin : a.at(), head, a, "keep=1" + (a.join() ? ", join" : "")
+                + (a.heldOnly() && !atParent ? ", held-only" : ""), cameNs, new Filler(head, a, fill, cameNs));
+    }
+
+    private void ask(InetSocketAddress to, RequestHead head, Ask a, String get, long cameNs, Filler filler) {
         Fields f = head.fields().copy().remove("Content-Length").remove("Transfer-Encoding");
         f.set("Via", f.joined("Via") + ", 1.1 " + model.name());
         // The same copies will do as when the request came: by now they may be that much older.
-        String oldest = a.oldestNs() == 0 ? "" : ", oldest=" + (a.oldestNs() + fill.sentNs - cameNs) / 1000;
-        f.set("Brooklock-Get", "keep=1" + oldest + (a.join() ? ", join" : "")
-                + (a.heldOnly() && !atParent ? ", held-only" : ""));
-        client.call(to, new RequestHead(head.method(), head.target(), head.host(), 1, f), new byte[0],
-                new Filler(a, fill));
+        f.set("Brooklock-Get", get + (a.oldestNs() == 0 ? "" : ", oldest=" + (a.oldestNs() + System.nanoTime() - cameNs)
+                / 1000));
+        client.call(to, new RequestHead(head.method(), head.target(), head.host(), 1, f), new byte[0], filler);
     }
 
     private final class Filler implements AnswerTaker {
+        private final RequestHead asked;
         private final Ask a;
         private final Fill fill;
+        private final long cameNs;
         private final ByteArrayOutputStream content = new ByteArrayOutputStream();
         private ResponseHead head;
 
-        Filler(Ask a, Fill fill) {
+        Filler(RequestHead asked, Ask a, Fill fill, long cameNs) {
+            this.asked = asked;
             this.a = a;
             this.fill = fill;
+            this.cameNs = cameNs;
+        }
+
+        // A neighbour that was asked first and does not give: the source is asked then.
+        private boolean goesOn(String how) {
+            if (!"asked".equals(fill.first)) {
+                return false;
+            }
+            fill.first = how;
+            askSource(asked, a, fill, cameNs);
+            return true;
         }
 
         @Override
@@ -397,7 +424,10 @@
                 // Its age is that at the moment when the request came in there, so it is not younger than this.
                 long age = Long.parseLong(head.fields().get("Brooklock-Age")) * 1000;
                 long serial = Long.parseLong(head.fields().get("ETag").replace("\"", ""));
+                fill.first = fill.first == null ? null : fill.first.equals("asked") ? "gave" : fill.first;
                 filled(new Copy(a.copyKey(), serial, fill.sentNs - age, a.group(), content.toByteArray()), fromOrigin);
+            } else if (goesOn(head.status() == 504 && head.fields().get("Proxy-Status") == null ? "lacked" : "failed")) {
+                return;
             } else if (head.status() == 504 && head.fields().get("Proxy-Status") == null) {
                 settle(w -> answer(w.x(), w.s(), 504, new Fields().add("Cache-Status", model.name()
                         + "; fwd=miss; detail=source-lacks"), waited, true));
@@ -416,6 +446,9 @@
 
         @Override
         public void failed(Failure failure, String why) {
+            if (goesOn("failed")) {
+                return;
+            }
             long waited = System.nanoTime() - fill.sentNs;
             settle(w -> failed(w, failure.provesNotRun ? "connection_refused" : "connection_terminated", null, waited));
         }
@@ -435,8 +468,10 @@
                     // The fill that was joined began before a purge that this one knows of.
                     fill(w.x(), w.a(), w.s(), w.cameNs(), w.leave());
                 } else {
-                    give(w.x(), w.a(), w.s(), c, model.name() + "; fwd=miss"
-                            + (w.joined() ? "; collapsed" : "") + (fromOrigin ? "; detail=origin" : ""), w.leave());
+                    boolean near = "gave".equals(fill.first);
+                    w.s().first = fill.first;
+                    give(w.x(), w.a(), w.s(), c, model.name() + "; fwd=miss" + (w.joined() ? "; collapsed" : "")
+                            + (near ? "; detail=neighbour" : fromOrigin ? "; detail=origin" : ""), w.leave());
                 }
             }
         }
@@ -505,6 +540,14 @@
         if (!cacheStatus.isEmpty()) {
             f.add("Cache-Status", cacheStatus);
         }
+        if (s.first != null) {
+            f.add("Brooklock-First", s.first);
+        }
+        if (a.fetch()) {
+            leave.run();
+            x.send(204, f, new byte[0]);
+            return;
+        }
         transfers++;
         Transfer t = new Transfer(x, c.content(), cutAt, this::rate, () -> {
             transfers--;
--- /dev/null
+++ b/src/main/java/brooklock/warming/Giver.java
@@ -0,0 +1,105 @@
+package brooklock.warming;
+
+/**
+ * How much warming may ask of one neighbour: a share of what this dispatcher sends it anyway. All dispatchers together
+ * send it what it bears, so all together ask no more than that share of what it bears on top, however many they are. The
+ * share grows while the neighbour has room and is cut, to nothing at last, as its own clients need it.
+ */
+final class Giver {
+    private static final double STEP = 0.1;
+    private static final long STEP_NS = 1_000_000_000L;
+    private static final long CUT_NS = 250_000_000L;
+    private static final double ROOMY = 0.6;
+    private static final double BUSY = 0.75;
+    private static final double FULL = 0.9;
+    // A neighbour that failed or refused as a source rests so long, twice as long with each that follows, so often.
+    private static final long REST_NS = 1_000_000_000L;
+    private static final int DOUBLED = 5;
+    // It lacked so many in a row: it does not hold what is looked for.
+    private static final int LACKS = 20;
+
+    private final Budget budget;
+    // Of the share that the settings allow.
+    private double part = STEP;
+    private long grownAt;
+    private long cutAt;
+    private long restUntil;
+    private int failed;
+    private int lacked;
+    private double util = -1;
+    private long heardAt;
+
+    Giver(double phase, long now) {
+        budget = new Budget(phase, now);
+        grownAt = now;
+        cutAt = now - CUT_NS;
+    }
+
+    void heard(Report r) {
+        if (!r.sane()) {
+            return;
+        }
+        util = r.util();
+        heardAt = r.atNs();
+        if (util > BUSY && heardAt - cutAt >= CUT_NS) {
+            part = util > FULL ? 0 : part / 2;
+            cutAt = heardAt;
+            grownAt = heardAt;
+        }
+    }
+
+    /** It gave. */
+    void gave() {
+        failed = 0;
+        lacked = 0;
+    }
+
+    /** It did not hold what was asked for; where that is so again and again it is asked less. */
+    void lacked(long now) {
+        failed = 0;
+        if (++lacked >= LACKS) {
+            lacked = 0;
+            rest(now);
+        }
+    }
+
+    /** It refused, or broke off. */
+    void failed(long now) {
+        part = 0;
+        grownAt = now;
+        rest(now);
+        failed = Math.min(DOUBLED, failed + 1);
+    }
+
+    private void rest(long now) {
+        restUntil = now + (REST_NS << failed);
+    }
+
+    /**
+     * Whether it may be asked for one more now.
+     *
+     * @param ownPerNs requests a ns that this dispatcher sends a cache itself
+     * @param share the most that the settings allow, of 1
+     */
+    boolean may(double ownPerNs, double share, long now) {
+        boolean known = util >= 0 && now - heardAt < Ahead.STALE_NS;
+        long steps = (now - grownAt) / STEP_NS;
+        if (steps > 0) {
+            part = known && util < ROOMY ? Math.min(1, part + STEP * steps) : part;
+            grownAt += steps * STEP_NS;
+        }
+        return known && now >= restUntil && budget.any(ownPerNs * share * part, now);
+    }
+
+    void spend() {
+        budget.spend();
+    }
+
+    double part() {
+        return part;
+    }
+
+    void resume(double before) {
+        part = Math.min(1, Math.max(0, before));
+    }
+}
--- /dev/null
+++ b/src/main/java/brooklock/warming/HotParts.java
@@ -0,0 +1,84 @@
+package brooklock.warming;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The parts asked for in the last interval and in this one, with what is needed to ask for them again: what fetching
+ * ahead chooses from. As the hot list is, but of copies, and of those that were listed.
+ *
+ * @param <T> what is needed to ask for one
+ */
+final class HotParts<T> {
+    /** The interval, ns: that of the module's hot list. */
+    static final long INTERVAL_NS = 10_000_000_000L;
+    /** Parts remembered of one interval; the one asked for longest ago goes first. */
+    static final int MOST = 20_000;
+
+    /** A part of an object. */
+    record Key(long object, int part) {
+    }
+
+    /** A part that was asked for. */
+    static final class Hot<T> {
+        final Key key;
+        final T how;
+        int times;
+
+        Hot(Key key, T how) {
+            this.key = key;
+            this.how = how;
+        }
+    }
+
+    private Map<Key, Hot<T>> before = Map.of();
+    private LinkedHashMap<Key, Hot<T>> now = new LinkedHashMap<>();
+    private long turnAt;
+
+    HotParts(long nowNs) {
+        turnAt = nowNs + INTERVAL_NS;
+    }
+
+    void asked(Key key, T how, long nowNs) {
+        turn(nowNs);
+        Hot<T> h = now.get(key);
+        if (h == null) {
+            Hot<T> old = before.get(key);
+            h = new Hot<>(key, how);
+            h.times = old == null ? 0 : old.times / 2;
+            now.put(key, h);
+            if (now.size() > MOST) {
+                now.remove(now.keySet().iterator().next());
+            }
+        }
+        h.times++;
+    }
+
+    private void turn(long nowNs) {
+        if (nowNs < turnAt) {
+            return;
+        }
+        before = nowNs < turnAt + INTERVAL_NS ? now : Map.of();
+        now = new LinkedHashMap<>();
+        turnAt = nowNs + INTERVAL_NS;
+    }
+
+    /** Those asked for at least twice, hottest first by doublings, in each by an order of this dispatcher's own. */
+    List<Hot<T>> hottest(long seed, long nowNs) {
+        turn(nowNs);
+        Map<Key, Hot<T>> all = new LinkedHashMap<>(before);
+        all.putAll(now);
+        List<Hot<T>> hot = new ArrayList<>();
+        all.values().forEach(h -> {
+            if (h.times > 1) {
+                hot.add(h);
+            }
+        });
+        Comparator<Hot<T>> byHeat = Comparator.comparingInt(h -> Integer.numberOfLeadingZeros(h.times));
+        hot.sort(byHeat.thenComparingLong(h -> Mix.of(seed ^ Mix.of(h.key.object() * 31 + h.key.part()))));
+        return hot;
+    }
+}
--- /dev/null
+++ b/src/main/java/brooklock/warming/Warming.java
@@ -0,0 +1,381 @@
+package brooklock.warming;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiPredicate;
+
+/**
+ * Brings cold caches up to their full share. It is told what the dispatcher sees and says three things: how large a
+ * share a cold cache is to have, which neighbour a miss there is filled from first, and what is to be fetched ahead.
+ * Deterministic, bounded, without a clock; for one thread.
+ *
+ * @param <T> what the dispatcher needs to ask for a part by itself
+ */
+public final class Warming<T> {
+    // A cache's copies are not back when its link is: so long after its start a neighbour is asked first, unless its
+    // own hits are back before.
+    private static final long EMPTY_NS = 120_000_000_000L;
+    // Share of its neighbours' share of hits at which a cache has its copies back.
+    private static final double FILLED = 0.9;
+    // Above any score: puts the own location first.
+    private static final double NEAR = 1e12;
+    // After refusals of the origin nothing is fetched ahead for so long, twice as long with each that follows, so often.
+    private static final long CROWDED_NS = 1_000_000_000L;
+    private static final int DOUBLED = 4;
+    // Parts looked at for fetching ahead in one go, and time until the list of the hottest is made anew.
+    private static final int LOOKED_AT = 64;
+    private static final long LIST_NS = 1_000_000_000L;
+    // Most parts remembered as fetched at one cache.
+    private static final int FETCHED_MOST = 20_000;
+
+    /** Weight of a cache for a part, as the module hashes: the same order, or neighbours would be asked in vain. */
+    public interface Order {
+        /** Greater is nearer. */
+        double score(long object, int part, long host);
+    }
+
+    /**
+     * A cache of the list.
+     *
+     * @param startedNs its last start by the clock of all calls here; 0 for long ago
+     * @param startedMs the same as it is told, which stays through a restart of this dispatcher
+     */
+    public record Cache(long host, int zone, boolean ready, long startedNs, long startedMs) {
+    }
+
+    /** One part to fetch at a cold cache, from one that surely holds it or not at all. */
+    public record Fetch<T>(long host, long source, long object, int part, T how) {
+    }
+
+    /** How the asking of a neighbour came out. */
+    public enum Given { GAVE, LACKED, FAILED }
+
+    private static final class Known {
+        Cache cache;
+        Ramp ramp;
+        Ahead ahead;
+        Giver giver;
+        double hits = -1;
+        Set<HotParts.Key> fetched = new HashSet<>();
+        double told = 1;
+    }
+
+    private final Law law;
+    private final Order order;
+    private final int zone;
+    private final String name;
+    private final HotParts<T> hot;
+    private final Pace served = new Pace();
+    private final TreeMap<Long, Known> caches = new TreeMap<>();
+    private List<HotParts.Hot<T>> hottest = List.of();
+    private long listAt;
+    private int listFrom;
+    private long crowdedUntil;
+    private int crowded;
+
+    /**
+     * With nothing known.
+     *
+     * @param zone the own location
+     * @param name this dispatcher's name: what it draws by it, others draw otherwise
+     */
+    public Warming(Law law, Order order, int zone, String name, long now) {
+        this.law = law;
+        this.order = order;
+        this.zone = zone;
+        this.name = name;
+        hot = new HotParts<>(now);
+    }
+
+    // ---- What is told
+
+    /** The caches of the list as they are now; those not among them are gone. */
+    public void list(List<Cache> all, long now) {
+        Set<Long> named = new HashSet<>();
+        for (Cache c : all) {
+            named.add(c.host());
+            Known k = caches.computeIfAbsent(c.host(), h -> new Known());
+            boolean started = k.cache == null || c.startedNs() > k.cache.startedNs();
+            k.cache = c;
+            if (started) {
+                // Its copies and its figures are of before. One that started long ago needs no ramp.
+                k.ramp = null;
+                k.ahead = null;
+                k.giver = new Giver(phase(c, 1), now);
+                k.hits = -1;
+                k.fetched = new HashSet<>();
+                if (c.startedNs() > 0 && now - c.startedNs() < EMPTY_NS) {
+                    k.ramp = new Ramp(c.startedNs(), now);
+                    k.ahead = new Ahead(phase(c, 2), now);
+                }
+            }
+        }
+        caches.keySet().retainAll(named);
+    }
+
+    private double phase(Cache c, int which) {
+        return Mix.phase(Mix.of(name, c.host() + which, c.startedNs()));
+    }
+
+    /** A client asked for a part that will be kept. */
+    public void asked(long object, int part, T how, long now) {
+        hot.asked(new HotParts.Key(object, part), how, now);
+    }
+
+    /** A host said something of itself. */
+    public void heard(long host, Report r) {
+        Known k = caches.get(host);
+        if (k == null || !r.sane() || r.sentNs() < k.cache.startedNs()) {
+            return;
+        }
+        k.hits = r.hits();
+        k.giver.heard(r);
+        if (k.ramp != null) {
+            k.ramp.heard(r);
+            k.ahead.heard(r);
+        }
+    }
+
+    /**
+     * A cache answered a client's request.
+     *
+     * @param hit from a copy it had
+     * @param late later than the class aims at
+     */
+    public void answered(long host, boolean hit, boolean late, long now) {
+        Known k = caches.get(host);
+        if (k == null) {
+            return;
+        }
+        if (warm(k, now) && k.cache.zone() == zone) {
+            long peers = caches.values().stream().filter(o -> o.cache.zone() == zone && o.cache.ready() && warm(o, now))
+                    .count();
+            served.add(1.0 / Math.max(1, peers), now);
+        }
+        if (k.ramp != null && late) {
+            k.ahead.stop(now);
+            if (hit) {
+                // What it had itself came late: it is its own link that is short.
+                k.ramp.crowded(now);
+            }
+        }
+    }
+
+    /** A cache refused for want of room, or did not answer. */
+    public void refused(long host, long now) {
+        Known k = caches.get(host);
+        if (k != null && k.ramp != null) {
+            k.ramp.crowded(now);
+            k.ahead.stop(now);
+        }
+    }
+
+    /** The origin refused a fill: nothing that could add to its crowd is begun for a while. */
+    public void originRefused(long now) {
+        if (now >= crowdedUntil) {
+            crowded = Math.min(DOUBLED, crowded + 1);
+        }
+        // Uneven, so that dispatchers do not come back all together.
+        crowdedUntil = now + (long) ((CROWDED_NS << crowded - 1)
+                * (0.5 + Mix.phase(Mix.of(name, crowded, now))));
+    }
+
+    /** A neighbour was asked first, for a miss or ahead. */
+    public void given(long neighbour, Given how, long now) {
+        Known k = caches.get(neighbour);
+        if (k == null) {
+            return;
+        }
+        switch (how) {
+            case GAVE -> k.giver.gave();
+            case LACKED -> k.giver.lacked(now);
+            case FAILED -> k.giver.failed(now);
+            default -> throw new IllegalStateException();
+        }
+    }
+
+    /** A fetch ahead has ended, well or not. */
+    public void fetched(Fetch<T> f, boolean late, long now) {
+        Known k = caches.get(f.host());
+        if (k != null && k.ahead != null) {
+            k.ahead.out = Math.max(0, k.ahead.out - 1);
+            if (late) {
+                k.ahead.stop(now);
+            }
+        }
+    }
+
+    // ---- What it says
+
+    /** Shares of cold caches that have changed enough to be told: by host, of 1. */
+    public Map<Long, Double> shares(long now) {
+        Map<Long, Double> news = new TreeMap<>();
+        caches.forEach((host, k) -> {
+            double share = share(k, now);
+            boolean whole = share == 1 && k.told != 1;
+            if (whole || Math.abs(share - k.told) >= Ramp.LEAST / 2) {
+                k.told = share;
+                news.put(host, share);
+            }
+        });
+        return news;
+    }
+
+    /** The share that a cache has as it was told last. */
+    public double share(long host) {
+        Known k = caches.get(host);
+        return k == null ? 1 : k.told;
+    }
+
+    private double share(Known k, long now) {
+        return k.ramp == null || k.cache.zone() != zone ? 1 : k.ramp.share(now);
+    }
+
+    /** The neighbour that a miss of a part at a cache is filled from first; 0 for none. It is taken to be asked. */
+    public long neighbour(long host, long object, int part, long now) {
+        Known k = caches.get(host);
+        if (k == null || !empty(k, now)) {
+            return 0;
+        }
+        long from = giver(k, object, part, now);
+        if (from != 0) {
+            caches.get(from).giver.spend();
+        }
+        return from;
+    }
+
+    // The nearest by hash of those that may hold it: it took over while this one was gone, or held it beside it.
+    private long giver(Known cold, long object, int part, long now) {
+        double own = served.perNs(now);
+        Known first = null;
+        Known second = null;
+        double firstScore = 0;
+        double secondScore = 0;
+        for (Known k : caches.values()) {
+            boolean near = k.cache.zone() == cold.cache.zone();
+            if (k == cold || !k.cache.ready() || !near && !law.anyZone() || !warm(k, now) || k.ramp != null && empty(k, now)) {
+                continue;
+            }
+            // Those of the own location first: there by hash it was held; elsewhere by the same hash, if at all.
+            double score = order.score(object, part, k.cache.host()) + (near ? NEAR : 0);
+            if (first == null || score > firstScore) {
+                second = first;
+                secondScore = firstScore;
+                first = k;
+                firstScore = score;
+            } else if (second == null || score > secondScore) {
+                second = k;
+                secondScore = score;
+            }
+        }
+        return first != null && first.giver.may(own, law.neighbourShare(), now) ? first.cache.host()
+                : second != null && second.giver.may(own, law.neighbourShare(), now) ? second.cache.host() : 0;
+    }
+
+    private boolean warm(Known k, long now) {
+        return k.cache.startedNs() == 0 || now - k.cache.startedNs() >= law.coldNs();
+    }
+
+    // Whether its copies are not back yet.
+    private boolean empty(Known k, long now) {
+        if (k.ramp == null || now - k.cache.startedNs() >= EMPTY_NS) {
+            return false;
+        }
+        double peers = caches.values().stream().filter(o -> o.ramp == null && o.hits >= 0
+                && o.cache.zone() == k.cache.zone()).mapToDouble(o -> o.hits).average().orElse(-1);
+        return !(warm(k, now) && k.hits >= 0 && peers >= 0 && k.hits >= FILLED * peers);
+    }
+
+    /**
+     * The next parts to fetch ahead: the hottest that belong to a cold cache and are not there yet, from neighbours that
+     * have something to spare. Each is taken to be under way until {@link #fetched}.
+     *
+     * @param allowed whether a copy of an object may be passed on now; not while older ones than a purge may be about
+     */
+    public List<Fetch<T>> ahead(long now, BiPredicate<Long, T> allowed) {
+        List<Known> cold = caches.values().stream().filter(k -> k.ahead != null && k.cache.ready()
+                && k.cache.zone() == zone && empty(k, now)).toList();
+        if (cold.isEmpty() || now < crowdedUntil) {
+            return List.of();
+        }
+        crowded = now - crowdedUntil > CROWDED_NS << crowded ? 0 : crowded;
+        if (now >= listAt || listFrom >= hottest.size()) {
+            hottest = hot.hottest(Mix.of(name, 3, 0), now);
+            listAt = now + LIST_NS;
+            listFrom = 0;
+        }
+        List<Fetch<T>> all = new ArrayList<>();
+        double own = served.perNs(now);
+        for (int i = 0; i < LOOKED_AT && listFrom < hottest.size(); i++) {
+            HotParts.Hot<T> h = hottest.get(listFrom++);
+            Known k = owner(h.key);
+            if (k == null || !cold.contains(k) || k.fetched.contains(h.key) || !allowed.test(h.key.object(), h.how)) {
+                continue;
+            }
+            if (!k.ahead.may(law, law.warmth(now - k.cache.startedNs()), own, now)) {
+                continue;
+            }
+            long from = giver(k, h.key.object(), h.key.part(), now);
+            if (from == 0) {
+                continue;
+            }
+            k.ahead.spend();
+            caches.get(from).giver.spend();
+            if (k.fetched.size() < FETCHED_MOST) {
+                k.fetched.add(h.key);
+            }
+            all.add(new Fetch<>(k.cache.host(), from, h.key.object(), h.key.part(), h.how));
+        }
+        return all;
+    }
+
+    // The cache of the own location that a part belongs to.
+    private Known owner(HotParts.Key key) {
+        return caches.values().stream().filter(k -> k.cache.ready() && k.cache.zone() == zone)
+                .max(Comparator.comparingDouble(k -> order.score(key.object(), key.part(), k.cache.host()))).orElse(null);
+    }
+
+    // ---- What is written down
+
+    /** One line of a snapshot: a cache's start, and what had been learned of it. */
+    public record Line(long host, long startedMs, double share, double part) {
+    }
+
+    /** What is worth going on from. */
+    public List<Line> snapshot(long now) {
+        List<Line> all = new ArrayList<>();
+        caches.forEach((host, k) -> all.add(new Line(host, k.cache.startedMs(), share(k, now), k.giver.part())));
+        return all;
+    }
+
+    /**
+     * Goes on from a snapshot: only for caches that have not started since, and by its age. One that is older than a few
+     * seconds is worth nothing: the ramps begin as they would without.
+     */
+    public void resume(List<Line> lines, long ageNs, long now) {
+        if (ageNs < 0 || ageNs > RESUME_NS) {
+            return;
+        }
+        double worth = 1 - ageNs / (double) RESUME_NS;
+        for (Line l : lines) {
+            Known k = caches.get(l.host());
+            if (k == null || k.cache.startedMs() != l.startedMs() || !(l.share() >= 0 && l.share() <= 1)) {
+                continue;
+            }
+            k.giver.resume(l.part() * worth);
+            if (k.ramp != null) {
+                // The share was smaller for a reason; by its age it goes back to where it begins.
+                k.ramp.resume(1 - (1 - l.share()) * worth, now);
+            }
+        }
+    }
+
+    // Age at which a snapshot is worth nothing, ns.
+    private static final long RESUME_NS = 20_000_000_000L;
+}
--- a/src/test/java/brooklock/ArchitectureTest.java
+++ b/src/test/java/brooklock/ArchitectureTest.java
@@ -14,8 +14,8 @@
 /** Which package sees which: each only those below it. */
 class ArchitectureTest {
     private static final List<String> ORDER = List.of("cli", "rehearsal", "standin", "console", "edge", "members",
-            "credentials", "rights", "net", "http", "config", "bench");
-    private static final List<String> PURE = List.of("brooklock.http", "brooklock.rights", "brooklock");
+            "credentials", "rights", "warming", "net", "http", "config", "bench");
+    private static final List<String> PURE = List.of("brooklock.http", "brooklock.rights", "brooklock.warming", "brooklock");
     private final JavaClasses all = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
             .importPackages("brooklock");
 
@@ -51,7 +51,8 @@
         classes().that(in(PURE)).and().haveNameNotMatching("brooklock.Main(\\$.*)?").should().onlyDependOnClassesThat(
                 DescribedPredicate.describe("pure", c -> PURE.contains(c.getPackageName())
                         || c.getPackageName().equals("brooklock.config") || c.getPackageName().equals("org.pcollections")
-                        || c.getPackageName().equals("java.time")
+                        || c.getPackageName().equals("java.time") || c.getPackageName().equals("java.util.zip")
+                        || c.getPackageName().equals("com.dynatrace.hash4j.hashing")
                         || !c.getFullName().matches("java\\.lang\\.(Thread|Process|ThreadLocal).*")
                         && (c.getPackageName().matches("java\\.(lang|nio|nio\\.charset|util|util\\.function|util\\.stream)"
                         + "|java\\.lang\\.(invoke|runtime)") || c.isPrimitive() || c.isArray()))).check(all);
--- /dev/null
+++ b/src/test/java/brooklock/warming/WarmingTest.java
@@ -0,0 +1,265 @@
+package brooklock.warming;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brooklock.warming.Warming.Cache;
+import brooklock.warming.Warming.Fetch;
+import brooklock.warming.Warming.Given;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class WarmingTest {
+    private static final long MS = 1_000_000L;
+    private static final long S = 1000 * MS;
+    private static final Law LAW = new Law(false, 0.2, 0.2, 10 * S, 2.5, 1500 * MS);
+    // The nearest by number, so that tests can be read.
+    private static final Warming.Order ORDER = (object, part, host) -> -Math.abs(object % 100 - host);
+
+    private static Cache warm(long host) {
+        return new Cache(host, 0, true, 0, 0);
+    }
+
+    private static Cache cold(long host, long started) {
+        return new Cache(host, 0, true, started, started / MS);
+    }
+
+    private static Report report(double util, double hits, long now) {
+        return new Report(util, 3, hits, now - MS, now);
+    }
+
+    /** Caches 1 to 5, of which 1 is cold since 100 s; the others have been asked much by this one and say they have room. */
+    private static Warming<String> fleet(Law law, long now) {
+        Warming<String> w = new Warming<>(law, ORDER, 0, "d1", now - 20 * S);
+        w.list(List.of(warm(1), warm(2), warm(3), warm(4), warm(5)), now - 20 * S);
+        for (int i = 0; i < 20_000; i++) {
+            long at = now - 20 * S + i * MS;
+            w.answered(2 + i % 4, true, false, at);
+            if (i % 100 == 0) {
+                for (int h = 2; h <= 5; h++) {
+                    w.heard(h, report(0.2, 0.9, at));
+                }
+            }
+        }
+        w.list(List.of(cold(1, now), warm(2), warm(3), warm(4), warm(5)), now);
+        return w;
+    }
+
+    private static long first(Warming<String> w, long object, long from, long to) {
+        for (long now = from; now < to; now += 10 * MS) {
+            long n = w.neighbour(1, object, 0, now);
+            if (n != 0) {
+                return n;
+            }
+        }
+        return 0;
+    }
+
+    @Test
+    void aMissAtAColdCacheIsFilledFromTheOneThatHeldItByHashWhileThatHasRoom() {
+        long now = 100 * S;
+        Warming<String> w = fleet(LAW, now);
+        assertEquals(2, first(w, 1, now, now + 3 * S), "the next to 1 by hash");
+        assertEquals(0, w.neighbour(2, 1, 0, now), "a warm cache needs none");
+        int asked = 0;
+        for (long at = now + 3 * S; at < now + 6 * S; at += 5 * MS) {
+            w.heard(2, report(0.2, 0.9, at));
+            asked += w.neighbour(1, 1, 0, at) == 2 ? 1 : 0;
+        }
+        // A fifth of the 250 a second that it is sent, at most.
+        assertTrue(asked > 3 && asked <= 150, "asked " + asked);
+        w.heard(2, report(0.95, 0.9, now + 6 * S));
+        assertNotEquals(2, first(w, 1, now + 6 * S, now + 6 * S + 900 * MS), "its own clients need it");
+    }
+
+    @Test
+    void aNeighbourThatDrainsIsGoneColdSilentOrFailsIsNotNamed() {
+        long now = 100 * S;
+        Warming<String> w = fleet(LAW, now);
+        w.list(List.of(cold(1, now), new Cache(2, 0, false, 0, 0), cold(3, now - S), warm(5)), now);
+        w.heard(5, report(0.2, 0.9, now));
+        assertEquals(5, first(w, 1, now, now + 3 * S), "2 drains, 3 is cold, 4 is gone");
+        w.given(5, Given.FAILED, now + 3 * S);
+        for (long at = now + 3 * S; at < now + 4 * S; at += 50 * MS) {
+            w.heard(5, report(0.2, 0.9, at));
+            assertEquals(0, w.neighbour(1, 1, 0, at), "it failed just now");
+        }
+        Warming<String> silent = fleet(LAW, now);
+        assertEquals(0, first(silent, 1, now + 10 * S, now + 15 * S), "nobody has told anything for ten seconds");
+    }
+
+    @Test
+    void whereAllOfAnOfficeIsColdOnlyTheSettingsLetOthersGive() {
+        long now = 100 * S;
+        for (boolean any : new boolean[] {false, true}) {
+            Law law = new Law(any, 0.5, 0.2, 10 * S, 2.5, 1500 * MS);
+            Warming<String> w = fleet(law, now);
+            w.list(List.of(cold(1, now), cold(2, now), new Cache(77, 1, true, 0, 0)), now);
+            long named = 0;
+            for (long at = now; at < now + 5 * S; at += 20 * MS) {
+                w.heard(77, report(0.1, 0.9, at));
+                named = Math.max(named, w.neighbour(1, 1, 0, at));
+            }
+            assertEquals(any ? 77 : 0, named);
+        }
+    }
+
+    @Test
+    void aRampIsCutByCrowdingAtOnceGrowsByStepsAndBelievesNoNonsense() {
+        Ramp r = new Ramp(100 * S, 100 * S);
+        assertEquals(1, r.share(100 * S));
+        r.heard(new Report(0.99, 9, 0.5, 99 * S, 101 * S));
+        assertEquals(1, r.share(101 * S), "said before its start");
+        r.heard(new Report(Double.NaN, 9, 0.5, 101 * S, 101 * S));
+        r.heard(new Report(-1, 9, 0.5, 101 * S, 101 * S));
+        assertEquals(1, r.share(101 * S), "cannot be");
+        r.heard(report(0.95, 0.5, 102 * S));
+        r.heard(report(0.95, 0.5, 102 * S + 10 * MS));
+        assertEquals(0.5, r.share(102 * S + 10 * MS), "one crowding is one cut");
+        for (int i = 1; i < 20; i++) {
+            r.crowded(102 * S + i * 300 * MS);
+        }
+        assertEquals(Ramp.LEAST, r.share(108 * S));
+        double before = Ramp.LEAST;
+        for (long at = 108 * S; at < 112 * S; at += 100 * MS) {
+            r.heard(report(0.3 + at % (7 * MS) / 1e9, 0.5, at));
+            assertTrue(r.share(at) - before <= 0.11, "by steps");
+            before = r.share(at);
+        }
+        assertTrue(before > 0.7, "grown to " + before);
+        Ramp frozen = new Ramp(0, 100 * S);
+        for (int i = 0; i < 200; i++) {
+            frozen.heard(new Report(1, i % 5, 0.5, 100 * S + i * 300 * MS - MS, 100 * S + i * 300 * MS));
+        }
+        assertEquals(1, frozen.share(200 * S), "a figure that stands still is none: the module's budget alone");
+    }
+
+    private static List<Fetch<String>> ahead(Warming<String> w, long from, long to) {
+        List<Fetch<String>> all = new ArrayList<>();
+        for (long at = from; at < to; at += 50 * MS) {
+            for (int h = 1; h <= 5; h++) {
+                w.heard(h, report(0.1, 0.9, at));
+            }
+            for (Fetch<String> f : w.ahead(at, (o, how) -> true)) {
+                all.add(f);
+                w.fetched(f, false, at + MS);
+            }
+        }
+        return all;
+    }
+
+    private static void ask(Warming<String> w, long now) {
+        for (int o = 1; o <= 500; o++) {
+            for (int times = 0; times < (o % 100 < 50 ? 3 : 1); times++) {
+                w.asked(o, 0, "o" + o, now);
+            }
+        }
+    }
+
+    @Test
+    void theHottestThatBelongToTheColdCacheAreFetchedOnceAndNothingWhileTheOriginRefuses() {
+        long now = 100 * S;
+        Warming<String> w = fleet(LAW, now);
+        ask(w, now - S);
+        List<Fetch<String>> all = ahead(w, now, now + 8 * S);
+        assertTrue(all.size() > 3, "fetched " + all);
+        Set<Long> once = new HashSet<>();
+        for (Fetch<String> f : all) {
+            assertEquals(1, f.host());
+            assertTrue(f.object() % 100 <= 1, "its own by hash: " + f);
+            assertEquals("o" + f.object(), f.how());
+            assertTrue(once.add(f.object()), "once: " + f);
+        }
+        Warming<String> crowded = fleet(LAW, now);
+        ask(crowded, now - S);
+        for (long at = now; at < now + 2 * S; at += 200 * MS) {
+            crowded.originRefused(at);
+            assertEquals(List.of(), ahead(crowded, at, at + 200 * MS));
+        }
+        assertTrue(!ahead(crowded, now + 2 * S, now + 9 * S).isEmpty(), "it comes back");
+        Warming<String> late = fleet(LAW, now);
+        ask(late, now - S);
+        late.answered(1, true, true, now);
+        assertEquals(List.of(), ahead(late, now, now + S), "the first sign of lateness stops it");
+    }
+
+    @Test
+    void aSnapshotIsWorthWhatItsAgeLeavesAndNothingForACacheThatHasStartedSince() {
+        long now = 100 * S;
+        Warming<String> w = fleet(LAW, now);
+        w.heard(1, report(0.95, 0.1, now + S));
+        assertEquals(0.5, w.shares(now + S).get(1L));
+        List<Warming.Line> saved = w.snapshot(now + S);
+        for (long[] c : new long[][] {{2, 55}, {10, 75}, {40, 100}}) {
+            Warming<String> again = fleet(LAW, now);
+            again.resume(saved, c[0] * S, now + S);
+            assertEquals(c[1] / 100.0, again.shares(now + S).getOrDefault(1L, 1.0), 0.01, "age " + c[0]);
+        }
+        Warming<String> since = fleet(LAW, now);
+        since.list(List.of(cold(1, now + S / 2), warm(2)), now + S);
+        since.resume(saved, S, now + S);
+        assertEquals(1, since.share(1));
+        assertTrue(since.shares(now + S).isEmpty());
+    }
+
+    /** What reaches one cold cache from many dispatchers, booked as a stand-in books it. */
+    @Property(tries = 10, seed = "23")
+    void theSumOfAllThatIsFetchedAheadStaysUnderWhatTheModuleLeaves(@ForAll long seed,
+            @ForAll @IntRange(min = 1, max = 400) int dispatchers) {
+        Random r = new Random(seed);
+        double multiple = 1.5 + 2 * r.nextDouble();
+        Law law = new Law(false, 0.2, 0.05 + 0.3 * r.nextDouble(), (4 + r.nextInt(12)) * S, multiple, 1500 * MS);
+        long start = 100 * S;
+        List<Warming<String>> all = new ArrayList<>();
+        double capacity = 0;
+        for (int i = 0; i < dispatchers; i++) {
+            // Requests a second that this one sends each warm cache.
+            double rate = 40 * Math.pow(r.nextDouble(), 3);
+            capacity += rate;
+            Warming<String> w = new Warming<>(law, ORDER, 0, "d" + i, start - 20 * S);
+            w.list(List.of(warm(1), warm(2), warm(3)), start - 20 * S);
+            for (double at = r.nextDouble() / rate; at < 20; at += 1 / (2 * rate)) {
+                w.answered(2 + r.nextInt(2), true, false, start - 20 * S + (long) (at * S));
+            }
+            for (int o = 0; o < 40; o++) {
+                w.asked(o * 100 + 1, 0, "", start - S);
+                w.asked(o * 100 + 1, 0, "", start - S);
+            }
+            w.list(List.of(cold(1, start), warm(2), warm(3)), start);
+            all.add(w);
+        }
+        ArrayDeque<Long> window = new ArrayDeque<>();
+        double module = Math.min(1.3, 0.6 * multiple);
+        for (long now = start; now < start + law.coldNs(); now += 100 * MS) {
+            for (Warming<String> w : all) {
+                for (int h = 1; h <= 3; h++) {
+                    // Some are lost, some nonsense; the most dangerous ones say that there is all the room in the world.
+                    int kind = r.nextInt(10);
+                    if (kind > 1) {
+                        w.heard(h, new Report(kind == 2 ? -3 : 0, 0, 0.9, now - MS, now));
+                    }
+                }
+                for (Fetch<String> f : w.ahead(now, (o, how) -> true)) {
+                    window.add(now);
+                    w.fetched(f, false, now);
+                }
+            }
+            while (!window.isEmpty() && now - window.peekFirst() > law.overloadNs()) {
+                window.pollFirst();
+            }
+            double warmth = law.warmth(now - start);
+            double left = (multiple - module) * warmth * capacity * law.overloadNs() / 1e9;
+            assertTrue(window.size() <= left + 3, window.size() + " of " + left + " by " + dispatchers + " at "
+                    + (now - start) / MS + " ms");
+        }
+    }
+}
