--- a/src/main/java/brooklock/rehearsal/Lateness.java
+++ b/src/main/java/brooklock/rehearsal/Lateness.java
@@ -1,7 +1,16 @@
 package brooklock.rehearsal;
 
+import brooklock.http.Fields;
 import brooklock.net.IoLoop;
+import brooklock.net.Listener;
+import brooklock.net.Net;
+import brooklock.net.ServerLimits;
 import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Map;
 import java.util.TreeMap;
@@ -19,6 +28,21 @@
     static final long STEP_NS = 20_000_000L;
     private static final long BEAT_NS = 10_000_000L;
     private static final int MOST = 100_000;
+    private static final long PROBE_EVERY_NS = 50_000_000L;
+    private static final int PROBE_MS = 5_000;
+
+    /** What failed in the rig itself: then nothing of the day can be judged. */
+    final Collection<String> faults = new ConcurrentLinkedQueue<>();
+
+    /** Runs work of the rig; a failure is written down. */
+    void guarded(Runnable work) {
+        try {
+            work.run();
+        } catch (RuntimeException | Error e) {
+            faults.add(e.toString());
+            throw e;
+        }
+    }
 
     /** Someone was late from a moment at which it should have run to that at which it did. */
     record Stretch(String who, long fromNs, long toNs) {
@@ -41,6 +65,32 @@
         }
     }
 
+    /**
+     * Watches how long a thread's sockets wait, from outside: a connection and an answer, over and over. What waits in
+     * the system before it is accepted or read shows here and in no beat.
+     */
+    void probe(String who, Net net) throws IOException {
+        Listener there = Listener.open(net, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                ServerLimits.STANDARD, x -> x.send(200, new Fields(), new byte[0]));
+        Thread t = new Thread(() -> {
+            while (!closed) {
+                long from = System.nanoTime();
+                try (Socket s = new Socket()) {
+                    s.connect(there.address(), PROBE_MS);
+                    s.setSoTimeout(PROBE_MS);
+                    s.getOutputStream().write("GET / HTTP/1.0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                    s.getInputStream().read();
+                    look(who, from);
+                } catch (IOException e) {
+                    add(new Stretch(who, from, System.nanoTime()));
+                }
+                LockSupport.parkNanos(PROBE_EVERY_NS);
+            }
+        }, "probe-" + who);
+        t.setDaemon(true);
+        t.start();
+    }
+
     /** Watches the machine and the wall clock, from a thread of its own. */
     void machine() {
         Thread t = new Thread(() -> {
--- a/src/main/java/brooklock/rehearsal/Rehearsal.java
+++ b/src/main/java/brooklock/rehearsal/Rehearsal.java
@@ -23,9 +23,11 @@
     public static final class Outcome {
         final List<Audit.Verdict> verdicts;
         final Service service;
+        private final List<String> faults;
         private final String ends;
 
-        Outcome(List<Audit.Verdict> verdicts, Service service, String ends) {
+        Outcome(List<Audit.Verdict> verdicts, Service service, List<String> faults, String ends) {
+            this.faults = faults;
             this.verdicts = verdicts;
             this.service = service;
             this.ends = ends;
@@ -33,7 +35,8 @@
 
         /** Whether every rule was seen and none broken; not judged where the rig was late itself. */
         public Verdict verdict() {
-            return verdicts.stream().allMatch(Audit.Verdict::kept) ? Verdict.KEPT
+            return !faults.isEmpty() ? Verdict.NOT_JUDGED
+                    : verdicts.stream().allMatch(Audit.Verdict::kept) ? Verdict.KEPT
                     : verdicts.stream().allMatch(v -> v.breaches().isEmpty() && v.cases() > 0) ? Verdict.NOT_JUDGED
                     : Verdict.BROKEN;
         }
@@ -56,6 +59,8 @@
         /** The report, as it is printed. */
         public String report() {
             StringBuilder s = new StringBuilder();
+            faults.stream().limit(5).forEach(f -> s.append("the rig itself failed, nothing can be judged: ").append(f)
+                    .append('\n'));
             verdicts.forEach(v -> s.append(v).append('\n'));
             return s.append(service.report()).append("tries: ").append(ends).append('\n').toString();
         }
@@ -128,7 +133,7 @@
             }
             Thread.sleep(AFTER_NS / 1_000_000);
             return new Outcome(new Audit(stage).all(), new Service(script, begun, stage.crowd.wishes, stage.lateness),
-                    ends(stage));
+                    List.copyOf(stage.lateness.faults), ends(stage));
         }
     }
 
