--- a/src/main/java/brooklock/edge/Warmer.java
+++ b/src/main/java/brooklock/edge/Warmer.java
@@ -14,6 +14,7 @@
 import brooklock.config.Settings.Kind;
 import brooklock.http.Fields;
 import brooklock.http.RequestHead;
+import brooklock.members.ListFile;
 import brooklock.members.Member;
 import brooklock.net.IoLoop;
 import brooklock.warming.Law;
@@ -26,7 +27,6 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -263,9 +263,7 @@
         String text = SnapshotText.write(System.currentTimeMillis(), core.snapshot(edge.clock.now()));
         edge.background(() -> {
             try {
-                Path beside = path.resolveSibling(path.getFileName() + ".new");
-                Files.writeString(beside, text, StandardCharsets.UTF_8);
-                Files.move(beside, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+                ListFile.put(path, text, false);
             } catch (IOException e) {
                 LOG.error("what was learned of cold caches cannot be written down", e);
             }
--- a/src/main/java/brooklock/members/BookText.java
+++ b/src/main/java/brooklock/members/BookText.java
@@ -2,16 +2,14 @@
 
 import brooklock.RouterApi.HostState;
 import brooklock.config.HostId;
-import java.nio.charset.StandardCharsets;
+import brooklock.config.Sealed;
 import java.util.Locale;
-import java.util.zip.CRC32C;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
 /**
  * What is in force, as it is saved: a first line with the version, for each source a line with its order and the hosts as
- * it named them, a line for each word by hand, and a last line with the number of lines and their CRC32C (RFC 3720). A
- * file that is cut, or has a bit turned, is refused whole.
+ * it named them, a line for each word by hand. Sealed, so that one that is cut or damaged is refused whole.
  */
 final class BookText {
     private static final String FIRST = "members 2";
@@ -21,29 +19,14 @@
 
     static String write(Membership.State state) {
         StringBuilder s = new StringBuilder(FIRST).append('\n');
-        int n = 1;
         for (Source source : state.sources().values()) {
             s.append("source ").append(source.name()).append(' ').append(source.epoch()).append(' ')
                     .append(source.number()).append(' ').append(source.heardMs()).append('\n');
-            n++;
-            for (Member m : source.words().values()) {
-                s.append(ListText.write(m)).append('\n');
-                n++;
-            }
-        }
-        for (var hand : state.byHand().entrySet()) {
-            s.append("hand ").append(state.inForce().get(hand.getKey()).name()).append(' ')
-                    .append(hand.getValue().name().toLowerCase(Locale.ROOT)).append('\n');
-            n++;
+            source.words().values().forEach(m -> s.append(ListText.write(m)).append('\n'));
         }
-        String body = s.toString();
-        return body + "end " + n + " " + sum(body) + "\n";
-    }
-
-    private static String sum(String text) {
-        CRC32C crc = new CRC32C();
-        crc.update(text.getBytes(StandardCharsets.UTF_8));
-        return Long.toHexString(crc.getValue());
+        state.byHand().forEach((id, word) -> s.append("hand ").append(state.inForce().get(id).name()).append(' ')
+                .append(word.name().toLowerCase(Locale.ROOT)).append('\n'));
+        return Sealed.seal(s.toString());
     }
 
     /** Reads it back; a list as it was saved before there was an order is read as one without. */
@@ -53,12 +36,7 @@
             Source s = Source.silent(Source.UNNUMBERED).after(old, 0);
             return new Membership.State(HashTreePMap.singleton(s.name(), s), HashTreePMap.empty(), s.words());
         }
-        int end = text.lastIndexOf("\nend ") + 1;
-        String body = text.substring(0, end);
-        String[] rows = body.split("\n");
-        if (end == 0 || !text.substring(end).equals("end " + rows.length + " " + sum(body) + "\n")) {
-            throw new IllegalArgumentException("the list was cut short or damaged: its last line does not fit");
-        }
+        String[] rows = Sealed.open(text);
         PMap<String, Source> sources = HashTreePMap.empty();
         PMap<Long, HostState> byHand = HashTreePMap.empty();
         Source now = null;
--- a/src/main/java/brooklock/members/ListFile.java
+++ b/src/main/java/brooklock/members/ListFile.java
@@ -34,16 +34,23 @@
         }
     }
 
-    /** Saves it whole: written beside, forced out, then put in place of the one before. */
+    /** Saves it whole, forced out to disk. */
     public void save(Membership.State state) throws IOException {
+        put(path, BookText.write(state), true);
+    }
+
+    /** Puts a text in place of a file, whole: written beside, forced out if that is asked for, then moved there. */
+    public static void put(Path path, String text, boolean force) throws IOException {
         Path beside = path.resolveSibling(path.getFileName() + ".new");
         try (FileChannel out = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
                 StandardOpenOption.TRUNCATE_EXISTING)) {
-            ByteBuffer b = StandardCharsets.UTF_8.encode(BookText.write(state));
+            ByteBuffer b = StandardCharsets.UTF_8.encode(text);
             while (b.hasRemaining()) {
                 out.write(b);
             }
-            out.force(true);
+            if (force) {
+                out.force(true);
+            }
         }
         Files.move(beside, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     }
--- a/src/main/java/brooklock/warming/SnapshotText.java
+++ b/src/main/java/brooklock/warming/SnapshotText.java
@@ -1,13 +1,12 @@
 package brooklock.warming;
 
-import java.nio.charset.StandardCharsets;
+import brooklock.config.Sealed;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.zip.CRC32C;
 
 /**
- * What was learned of cold caches, as it is written down: a first line with version and wall time, a line a cache, a
- * last line with their number and CRC32C (RFC 3720). Bounded; one that is cut or has a bit turned is refused whole.
+ * What was learned of cold caches, as it is written down: a first line with version and wall time, a line a cache,
+ * sealed. Bounded; one that is cut or has a bit turned is refused whole.
  */
 public final class SnapshotText {
     /** Most caches in one. */
@@ -26,24 +25,14 @@
         int n = Math.min(MOST, lines.size());
         lines.subList(0, n).forEach(l -> s.append(Long.toHexString(l.host())).append(' ').append(l.startedMs()).append(' ')
                 .append(l.share()).append(' ').append(l.part()).append('\n'));
-        String body = s.toString();
-        return body + "end " + n + " " + sum(body) + "\n";
-    }
-
-    private static String sum(String text) {
-        CRC32C crc = new CRC32C();
-        crc.update(text.getBytes(StandardCharsets.UTF_8));
-        return Long.toHexString(crc.getValue());
+        return Sealed.seal(s.toString());
     }
 
     /** Reads it back; a damaged one throws with the reason. */
     public static Read read(String text) {
-        int end = text.lastIndexOf("\nend ") + 1;
-        String body = text.substring(0, end);
-        String[] rows = body.split("\n");
-        if (end == 0 || !text.substring(end).equals("end " + (rows.length - 1) + " " + sum(body) + "\n")
-                || rows.length - 1 > MOST || !rows[0].matches("warming 1 \\d{1,15}")) {
-            throw new IllegalArgumentException("it was cut short or damaged");
+        String[] rows = Sealed.open(text);
+        if (rows.length - 1 > MOST || !rows[0].matches("warming 1 \\d{1,15}")) {
+            throw new IllegalArgumentException("it is of another version, or too long");
         }
         List<Warming.Line> lines = new ArrayList<>();
         for (int i = 1; i < rows.length; i++) {
