--- a/src/main/java/brooklock/edge/ListKeeper.java
+++ b/src/main/java/brooklock/edge/ListKeeper.java
@@ -31,6 +31,8 @@
 
     private final ListFile file;
     private final AtomicReference<Work> newest = new AtomicReference<>();
+    // What is on disk, as far as this has put it there.
+    private volatile Membership.State saved;
     private final ExecutorService writer = Executors.newSingleThreadExecutor(r -> {
         Thread t = new Thread(r, "list-writer");
         t.setDaemon(true);
@@ -43,7 +45,7 @@
 
     /** Saves a state; on the decision thread alone, so that the newest is the one handed in last. */
     void save(Membership.State state, Saved then) {
-        if (file == null) {
+        if (file == null || newest.get() == null && saved == state) {
             then.done(null);
             return;
         }
@@ -62,6 +64,7 @@
         String problem = null;
         try {
             file.save(work.state());
+            saved = work.state();
         } catch (IOException e) {
             problem = String.valueOf(e.getMessage());
             LOG.error("the list cannot be saved; after a restart the one before is taken", e);
--- a/src/main/java/brooklock/edge/Warmer.java
+++ b/src/main/java/brooklock/edge/Warmer.java
@@ -134,9 +134,9 @@
         }
         if (d.outcome() == Outcome.OK) {
             core.answered(d.host(), d.note() == Note.HIT, late, now);
-        } else if (d.outcome() == Outcome.FULL && d.note() == Note.NONE || d.outcome() == Outcome.TIMEOUT
-                || d.outcome() == Outcome.CONNECT_FAILED || d.outcome() == Outcome.RESET) {
-            core.refused(d.host(), now);
+        } else if ((d.outcome() == Outcome.FULL || d.outcome() == Outcome.ERROR) && d.note() == Note.NONE
+                || d.outcome() == Outcome.TIMEOUT || d.outcome() == Outcome.CONNECT_FAILED || d.outcome() == Outcome.RESET) {
+            core.refused(d.host(), d.outcome() == Outcome.CONNECT_FAILED || d.outcome() == Outcome.RESET, now);
         }
         if (d.note() == Note.ORIGIN_FAILED || d.note() == Note.SOURCE_REFUSED) {
             core.originRefused(now);
--- a/src/main/java/brooklock/warming/HotParts.java
+++ b/src/main/java/brooklock/warming/HotParts.java
@@ -15,8 +15,8 @@
 final class HotParts<T> {
     /** The interval, ns: that of the module's hot list. */
     static final long INTERVAL_NS = 10_000_000_000L;
-    /** Parts remembered of one interval; the one asked for longest ago goes first. */
-    static final int MOST = 20_000;
+    /** Parts remembered of one interval; the one that came first goes first. Bounds the sorting to a few milliseconds. */
+    static final int MOST = 8_000;
 
     /** A part of an object. */
     record Key(long object, int part) {
@@ -26,11 +26,13 @@
     static final class Hot<T> {
         final Key key;
         final T how;
+        final long order;
         int times;
 
-        Hot(Key key, T how) {
+        Hot(Key key, T how, long order) {
             this.key = key;
             this.how = how;
+            this.order = order;
         }
     }
 
@@ -38,7 +40,11 @@
     private LinkedHashMap<Key, Hot<T>> now = new LinkedHashMap<>();
     private long turnAt;
 
-    HotParts(long nowNs) {
+    private final long seed;
+
+    /** {@code seed} draws the order of those alike, another at each dispatcher. */
+    HotParts(long seed, long nowNs) {
+        this.seed = seed;
         turnAt = nowNs + INTERVAL_NS;
     }
 
@@ -47,7 +53,7 @@
         Hot<T> h = now.get(key);
         if (h == null) {
             Hot<T> old = before.get(key);
-            h = new Hot<>(key, how);
+            h = new Hot<>(key, how, Mix.of(seed ^ Mix.of(key.object() * 31 + key.part())));
             h.times = old == null ? 0 : old.times / 2;
             now.put(key, h);
             if (now.size() > MOST) {
@@ -67,7 +73,7 @@
     }
 
     /** Those asked for at least twice, hottest first by doublings, in each by an order of this dispatcher's own. */
-    List<Hot<T>> hottest(long seed, long nowNs) {
+    List<Hot<T>> hottest(long nowNs) {
         turn(nowNs);
         Map<Key, Hot<T>> all = new LinkedHashMap<>(before);
         all.putAll(now);
@@ -78,7 +84,7 @@
             }
         });
         Comparator<Hot<T>> byHeat = Comparator.comparingInt(h -> Integer.numberOfLeadingZeros(h.times));
-        hot.sort(byHeat.thenComparingLong(h -> Mix.of(seed ^ Mix.of(h.key.object() * 31 + h.key.part()))));
+        hot.sort(byHeat.thenComparingLong(h -> h.order));
         return hot;
     }
 }
--- a/src/main/java/brooklock/warming/Warming.java
+++ b/src/main/java/brooklock/warming/Warming.java
@@ -31,6 +31,10 @@
     // Parts looked at for fetching ahead in one go, and time until the list of the hottest is made anew.
     private static final int LOOKED_AT = 64;
     private static final long LIST_NS = 1_000_000_000L;
+    // Connections broken one after the other from which a cache is taken for dead and back, as the module does.
+    private static final int BROKE = 3;
+    // How often what holds for all caches is reckoned anew.
+    private static final long LOOK_NS = 100_000_000L;
     // Most parts remembered as fetched at one cache.
     private static final int FETCHED_MOST = 20_000;
 
@@ -58,6 +62,9 @@
 
     private static final class Known {
         Cache cache;
+        // Its last start: as the list has it, or as its broken connections tell, whichever is later.
+        long startedNs;
+        int broke;
         Ramp ramp;
         Ahead ahead;
         Giver giver;
@@ -76,6 +83,9 @@
     private List<HotParts.Hot<T>> hottest = List.of();
     private long listAt;
     private int listFrom;
+    private final Map<Integer, Double> hitsByZone = new HashMap<>();
+    private int warmPeers;
+    private long lookAt;
     private long crowdedUntil;
     private int crowded;
 
@@ -90,7 +100,7 @@
         this.order = order;
         this.zone = zone;
         this.name = name;
-        hot = new HotParts<>(now);
+        hot = new HotParts<>(Mix.of(name, 3, 0), now);
     }
 
     // ---- What is told
@@ -101,26 +111,33 @@
         for (Cache c : all) {
             named.add(c.host());
             Known k = caches.computeIfAbsent(c.host(), h -> new Known());
-            boolean started = k.cache == null || c.startedNs() > k.cache.startedNs();
+            boolean fresh = k.cache == null;
             k.cache = c;
-            if (started) {
-                // Its copies and its figures are of before. One that started long ago needs no ramp.
-                k.ramp = null;
-                k.ahead = null;
-                k.giver = new Giver(phase(c, 1), now);
-                k.hits = -1;
-                k.fetched = new HashSet<>();
-                if (c.startedNs() > 0 && now - c.startedNs() < EMPTY_NS) {
-                    k.ramp = new Ramp(c.startedNs(), now);
-                    k.ahead = new Ahead(phase(c, 2), now);
-                }
+            if (fresh || c.startedNs() > k.startedNs) {
+                started(k, c.startedNs(), now);
             }
         }
         caches.keySet().retainAll(named);
+        lookAt = now;
     }
 
-    private double phase(Cache c, int which) {
-        return Mix.phase(Mix.of(name, c.host() + which, c.startedNs()));
+    // Its copies and its figures are of before. One that started long ago needs no ramp.
+    private void started(Known k, long at, long now) {
+        k.startedNs = at;
+        k.ramp = null;
+        k.ahead = null;
+        k.giver = new Giver(phase(k, 1), now);
+        k.hits = -1;
+        k.broke = 0;
+        k.fetched = new HashSet<>();
+        if (at > 0 && now - at < EMPTY_NS) {
+            k.ramp = new Ramp(at, now);
+            k.ahead = new Ahead(phase(k, 2), now);
+        }
+    }
+
+    private double phase(Known k, int which) {
+        return Mix.phase(Mix.of(name, k.cache.host() + which, k.startedNs));
     }
 
     /** A client asked for a part that will be kept. */
@@ -131,7 +148,7 @@
     /** A host said something of itself. */
     public void heard(long host, Report r) {
         Known k = caches.get(host);
-        if (k == null || !r.sane() || r.sentNs() < k.cache.startedNs()) {
+        if (k == null || !r.sane() || r.sentNs() < k.startedNs) {
             return;
         }
         k.hits = r.hits();
@@ -153,10 +170,10 @@
         if (k == null) {
             return;
         }
+        k.broke = 0;
         if (warm(k, now) && k.cache.zone() == zone) {
-            long peers = caches.values().stream().filter(o -> o.cache.zone() == zone && o.cache.ready() && warm(o, now))
-                    .count();
-            served.add(1.0 / Math.max(1, peers), now);
+            look(now);
+            served.add(1.0 / Math.max(1, warmPeers), now);
         }
         if (k.ramp != null && late) {
             k.ahead.stop(now);
@@ -167,10 +184,23 @@
         }
     }
 
-    /** A cache refused for want of room, or did not answer. */
-    public void refused(long host, long now) {
+    /**
+     * A cache refused for want of room, failed, or did not answer.
+     *
+     * @param broke its connection broke or could not be had: so often running, it is taken for started anew, whatever
+     *     the list says
+     */
+    public void refused(long host, boolean broke, long now) {
         Known k = caches.get(host);
-        if (k != null && k.ramp != null) {
+        if (k == null) {
+            return;
+        }
+        k.broke = broke ? k.broke + 1 : 0;
+        // One that ails gives nothing, whatever it says of itself.
+        k.giver.failed(now);
+        if (k.broke >= BROKE) {
+            started(k, now, now);
+        } else if (k.ramp != null) {
             k.ramp.crowded(now);
             k.ahead.stop(now);
         }
@@ -279,19 +309,37 @@
     }
 
     private boolean warm(Known k, long now) {
-        return k.cache.startedNs() == 0 || now - k.cache.startedNs() >= law.coldNs();
+        return k.startedNs == 0 || now - k.startedNs >= law.coldNs();
     }
 
     // Whether its copies are not back yet.
     private boolean empty(Known k, long now) {
-        if (k.ramp == null || now - k.cache.startedNs() >= EMPTY_NS) {
+        if (k.ramp == null || now - k.startedNs >= EMPTY_NS) {
             return false;
         }
-        double peers = caches.values().stream().filter(o -> o.ramp == null && o.hits >= 0
-                && o.cache.zone() == k.cache.zone()).mapToDouble(o -> o.hits).average().orElse(-1);
+        look(now);
+        double peers = hitsByZone.getOrDefault(k.cache.zone(), -1.0);
         return !(warm(k, now) && k.hits >= 0 && peers >= 0 && k.hits >= FILLED * peers);
     }
 
+    // What is reckoned over all caches is reckoned a few times a second, not for each request.
+    private void look(long now) {
+        if (now < lookAt) {
+            return;
+        }
+        lookAt = now + LOOK_NS;
+        warmPeers = 0;
+        hitsByZone.clear();
+        Map<Integer, Integer> told = new HashMap<>();
+        for (Known k : caches.values()) {
+            warmPeers += k.cache.zone() == zone && k.cache.ready() && warm(k, now) ? 1 : 0;
+            if (k.ramp == null && k.hits >= 0) {
+                int n = told.merge(k.cache.zone(), 1, Integer::sum);
+                hitsByZone.merge(k.cache.zone(), k.hits, (mean, h) -> mean + (h - mean) / n);
+            }
+        }
+    }
+
     /**
      * The next parts to fetch ahead: the hottest that belong to a cold cache and are not there yet, from neighbours that
      * have something to spare. Each is taken to be under way until {@link #fetched}.
@@ -306,7 +354,7 @@
         }
         crowded = now - crowdedUntil > CROWDED_NS << crowded ? 0 : crowded;
         if (now >= listAt || listFrom >= hottest.size()) {
-            hottest = hot.hottest(Mix.of(name, 3, 0), now);
+            hottest = hot.hottest(now);
             listAt = now + LIST_NS;
             listFrom = 0;
         }
@@ -318,7 +366,7 @@
             if (k == null || !cold.contains(k) || k.fetched.contains(h.key) || !allowed.test(h.key.object(), h.how)) {
                 continue;
             }
-            if (!k.ahead.may(law, law.warmth(now - k.cache.startedNs()), own, now)) {
+            if (!k.ahead.may(law, law.warmth(now - k.startedNs), own, now)) {
                 continue;
             }
             long from = giver(k, h.key.object(), h.key.part(), now);
--- a/src/test/java/brooklock/warming/WarmingTest.java
+++ b/src/test/java/brooklock/warming/WarmingTest.java
@@ -93,6 +93,12 @@
             w.heard(5, report(0.2, 0.9, at));
             assertEquals(0, w.neighbour(1, 1, 0, at), "it failed just now");
         }
+        Warming<String> ailing = fleet(LAW, now);
+        for (long at = now; at < now + 3 * S; at += 50 * MS) {
+            ailing.heard(2, report(0.2, 0.9, at));
+            ailing.refused(2, false, at);
+            assertNotEquals(2, ailing.neighbour(1, 1, 0, at), "it says that it is well and answers nobody");
+        }
         Warming<String> silent = fleet(LAW, now);
         assertEquals(0, first(silent, 1, now + 10 * S, now + 15 * S), "nobody has told anything for ten seconds");
     }
@@ -192,6 +198,24 @@
         assertEquals(List.of(), ahead(late, now, now + S), "the first sign of lateness stops it");
     }
 
+    @Test
+    void aCacheThatDiesAgainHalfwayIsColdAnewThoughTheListSaysReadyAllAlong() {
+        long now = 100 * S;
+        Warming<String> w = fleet(LAW, now);
+        ask(w, now - S);
+        Set<Long> before = new HashSet<>();
+        ahead(w, now, now + 4 * S).forEach(f -> before.add(f.object()));
+        for (int i = 0; i < 3; i++) {
+            w.refused(1, true, now + 5 * S + i * MS);
+        }
+        w.list(List.of(cold(1, now), warm(2), warm(3), warm(4), warm(5)), now + 5 * S + 10 * MS);
+        w.heard(1, new Report(0.1, 1, 0.9, now + 4 * S, now + 5 * S + 20 * MS));
+        assertEquals(List.of(), w.ahead(now + 5 * S + 30 * MS, (o, how) -> true), "what it said before it died is nothing");
+        ask(w, now + 5 * S);
+        List<Fetch<String>> again = ahead(w, now + 5 * S + 50 * MS, now + 13 * S);
+        assertTrue(again.stream().anyMatch(f -> before.contains(f.object())), "its copies are gone: " + before + again);
+    }
+
     @Test
     void aSnapshotIsWorthWhatItsAgeLeavesAndNothingForACacheThatHasStartedSince() {
         long now = 100 * S;
