Neighbours of another office tell how they are with what they give; a trickle until then

A test with a whole office cold found that no neighbour of the other office ever gave: this dispatcher never asks those itself, so it had heard nothing of them and named none. One that has told nothing lately is asked a trickle (a twentieth of its share) and its load comes back with the fill (Brooklock-First-Load).

--- a/src/main/java/brooklock/edge/Attempt.java
+++ b/src/main/java/brooklock/edge/Attempt.java
@@ -30,6 +30,7 @@
     private XnioExecutor.Key timer;
     private AnswerReading reading;
     private Report report;
+    private Report ofFirst;
     private String firstGave;
     private boolean winner;
     private boolean over;
@@ -74,7 +75,8 @@
     public void head(ResponseHead head, Framing framing, boolean whole) {
         reading = AnswerReading.of(head);
         if (edge.warmer() != null) {
-            report = Warmer.report(head.fields(), sentAt, edge.clock.now());
+            report = Warmer.report(head.fields(), "Brooklock-Load", sentAt, edge.clock.now());
+            ofFirst = Warmer.report(head.fields(), "Brooklock-First-Load", sentAt, edge.clock.now());
             firstGave = head.fields().get("Brooklock-First");
         }
         if (reading.outcome() == Outcome.OK && exchange.closed()) {
@@ -189,7 +191,7 @@
         } else {
             ClassLine c = exchange.match.line();
             boolean late = tookNs > c.aimNs() + c.stretch() * exchange.bytes / edge.settings.fleet().pace() * 1e9;
-            edge.decisions.tell(done, () -> edge.warmer().ended(done, first, report, firstGave, late));
+            edge.decisions.tell(done, () -> edge.warmer().ended(done, first, report, firstGave, ofFirst, late));
         }
         exchange.ended(this);
     }
--- a/src/main/java/brooklock/edge/Warmer.java
+++ b/src/main/java/brooklock/edge/Warmer.java
@@ -127,7 +127,7 @@
     }
 
     /** An attempt has ended. */
-    void ended(Done d, long neighbour, Report report, String first, boolean late) {
+    void ended(Done d, long neighbour, Report report, String first, Report ofNeighbour, boolean late) {
         long now = edge.clock.now();
         if (report != null) {
             core.heard(d.host(), report);
@@ -141,6 +141,9 @@
         if (d.note() == Note.ORIGIN_FAILED || d.note() == Note.SOURCE_REFUSED) {
             core.originRefused(now);
         }
+        if (neighbour != 0 && ofNeighbour != null) {
+            core.heard(neighbour, ofNeighbour);
+        }
         if (neighbour != 0 && first != null) {
             given(neighbour, first, now);
         }
@@ -221,15 +224,15 @@
         } else if (status == 504) {
             given(f.source(), "lacked", now);
         }
-        Report r = fields == null ? null : report(fields, sentAt, now);
+        Report r = fields == null ? null : report(fields, "Brooklock-Load", sentAt, now);
         if (r != null) {
             core.heard(f.host(), r);
         }
     }
 
     /** What a host says of itself, or null. */
-    static Report report(Fields f, long sentAt, long now) {
-        String load = f.get("Brooklock-Load");
+    static Report report(Fields f, String field, long sentAt, long now) {
+        String load = f.get(field);
         if (load == null) {
             return null;
         }
--- a/src/main/java/brooklock/rehearsal/Runner.java
+++ b/src/main/java/brooklock/rehearsal/Runner.java
@@ -12,6 +12,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 
 /** One dispatcher of the day: a process of its own, or within this one where a test wants its own decider. */
@@ -83,6 +85,13 @@
         };
     }
 
+    // Dispatchers do not outlive the rig, however it ends.
+    private static final Set<Process> LIVE = ConcurrentHashMap.newKeySet();
+
+    static {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> LIVE.forEach(Process::destroyForcibly), "end-dispatchers"));
+    }
+
     /** A process of its own, killed as by the system. */
     static Runner process(String name, Path file, String settings) {
         return new Runner(name, file, settings) {
@@ -94,6 +103,7 @@
                         "-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp",
                         System.getProperty("java.class.path"), "brooklock.Main", "serve", file.toString())
                         .redirectError(file.resolveSibling(name + ".log").toFile()).start();
+                LIVE.add(process);
                 BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(),
                         StandardCharsets.UTF_8));
                 String line = out.readLine();
@@ -108,6 +118,7 @@
             @Override
             void end() {
                 process.destroyForcibly();
+                LIVE.remove(process);
                 try {
                     process.waitFor();
                 } catch (InterruptedException e) {
--- a/src/main/java/brooklock/standin/Sighting.java
+++ b/src/main/java/brooklock/standin/Sighting.java
@@ -24,6 +24,8 @@
     public final String source;
     /** How a neighbour that was asked first answered; null where none was. */
     volatile String first;
+    /** What that neighbour said of itself. */
+    volatile String firstLoad;
     /** Whether it came after the host's start when the host was still cold. */
     public volatile boolean cold;
     /** Serial of the copy that was given, 0 for none. */
--- a/src/main/java/brooklock/standin/StandInHost.java
+++ b/src/main/java/brooklock/standin/StandInHost.java
@@ -335,8 +335,9 @@
     private static final class Fill {
         final List<Waiter> waiters = new ArrayList<>();
         long sentNs;
-        // How the neighbour that was asked first answered; null where none was.
+        // How the neighbour that was asked first answered, and what it said of itself; null where none was.
         String first;
+        String firstLoad;
 
         Fill(long sentNs) {
             this.sentNs = sentNs;
@@ -398,6 +399,7 @@
                 return false;
             }
             fill.first = how;
+            fill.firstLoad = head == null ? null : head.fields().get("Brooklock-Load");
             askSource(asked, a, fill, cameNs);
             return true;
         }
@@ -424,6 +426,7 @@
                 // Its age is that at the moment when the request came in there, so it is not younger than this.
                 long age = Long.parseLong(head.fields().get("Brooklock-Age")) * 1000;
                 long serial = Long.parseLong(head.fields().get("ETag").replace("\"", ""));
+                fill.firstLoad = "asked".equals(fill.first) ? head.fields().get("Brooklock-Load") : fill.firstLoad;
                 fill.first = fill.first == null ? null : fill.first.equals("asked") ? "gave" : fill.first;
                 filled(new Copy(a.copyKey(), serial, fill.sentNs - age, a.group(), content.toByteArray()), fromOrigin);
             } else if (goesOn(head.status() == 504 && head.fields().get("Proxy-Status") == null ? "lacked" : "failed")) {
@@ -470,6 +473,7 @@
                 } else {
                     boolean near = "gave".equals(fill.first);
                     w.s().first = fill.first;
+                    w.s().firstLoad = fill.firstLoad;
                     give(w.x(), w.a(), w.s(), c, model.name() + "; fwd=miss" + (w.joined() ? "; collapsed" : "")
                             + (near ? "; detail=neighbour" : fromOrigin ? "; detail=origin" : ""), w.leave());
                 }
@@ -542,6 +546,9 @@
         }
         if (s.first != null) {
             f.add("Brooklock-First", s.first);
+            if (s.firstLoad != null) {
+                f.add("Brooklock-First-Load", s.firstLoad);
+            }
         }
         if (a.fetch()) {
             leave.run();
--- a/src/main/java/brooklock/warming/Giver.java
+++ b/src/main/java/brooklock/warming/Giver.java
@@ -9,6 +9,8 @@
     private static final double STEP = 0.1;
     private static final long STEP_NS = 1_000_000_000L;
     private static final long CUT_NS = 250_000_000L;
+    // Its part while it has told nothing lately: one of another location tells only when it is asked.
+    private static final double UNHEARD = 0.05;
     private static final double ROOMY = 0.6;
     private static final double BUSY = 0.75;
     private static final double FULL = 0.9;
@@ -88,7 +90,7 @@
             part = known && util < ROOMY ? Math.min(1, part + STEP * steps) : part;
             grownAt += steps * STEP_NS;
         }
-        return known && now >= restUntil && budget.any(ownPerNs * share * part, now);
+        return now >= restUntil && budget.any(ownPerNs * share * (known ? part : Math.min(part, UNHEARD)), now);
     }
 
     void spend() {
