Read again: a fetch ahead ends by its time; a parameter that was always the same is gone

A fetch ahead that a silent cache never answered did not end: its page said "by an answer, a failure or its time", but the time was only looked at when an answer came. Two such fetches held the cache's places for fetching ahead for good, and a connection each. It is called off after its two seconds now, which makes the two looks at the clock needless; a test with a silent cache waited in vain before. Membership.settle was given the same result by every caller; a priority was set to what it is; a comment told of what the state does not show.

MembershipTest, ListTextTest, OrderedNoticesTest, ArchitectureTest and WarmerTest's fetches pass.

--- a/src/main/java/brooklock/edge/FetchAhead.java
+++ b/src/main/java/brooklock/edge/FetchAhead.java
@@ -2,9 +2,13 @@
 
 import brooklock.http.Fields;
 import brooklock.http.Framing;
+import brooklock.http.RequestHead;
 import brooklock.http.ResponseHead;
 import brooklock.net.AnswerTaker;
+import brooklock.net.ClientCall;
 import brooklock.net.Failure;
+import brooklock.net.IoLoop;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 
 /** One fetch ahead on its way; ends once, by an answer, a failure or its time. */
@@ -33,10 +37,21 @@
         sentAt = edge.clock.now();
     }
 
+    /** Sends it; on the loop's thread. */
+    void send(IoLoop loop, InetSocketAddress to, RequestHead request) {
+        ClientCall call = edge.client(loop).call(to, request, new byte[0], this);
+        loop.after(MOST_NS, () -> {
+            if (!over) {
+                call.cancel();
+                over(0);
+            }
+        });
+    }
+
     /** Rule 3, at the last moment, as for any attempt. */
     @Override
     public boolean mayGo() {
-        return edge.book.ready(host) && edge.book.ready(source) && edge.clock.now() - sentAt < MOST_NS;
+        return edge.book.ready(host) && edge.book.ready(source);
     }
 
     @Override
@@ -51,7 +66,7 @@
 
     @Override
     public void end(Fields trailers) {
-        over(edge.clock.now() - sentAt < MOST_NS ? head.status() : 0);
+        over(head.status());
     }
 
     @Override
--- a/src/main/java/brooklock/edge/Warmer.java
+++ b/src/main/java/brooklock/edge/Warmer.java
@@ -199,9 +199,8 @@
             ahead++;
             IoLoop loop = edge.loop(fetches++ % edge.loops());
             RequestHead head = head(f, host, source);
-            loop.execute(() -> edge.client(loop).call(host.address(), head, new byte[0], new FetchAhead(edge, f.host(),
-                    f.source(), (status, fields, sentAt) -> edge.decisions.make(() -> null,
-                    () -> fetched(f, status, fields, sentAt)))));
+            loop.execute(() -> new FetchAhead(edge, f.host(), f.source(), (status, fields, sentAt) -> edge.decisions.make(
+                    () -> null, () -> fetched(f, status, fields, sentAt))).send(loop, host.address(), head));
         }
     }
 
@@ -291,7 +290,7 @@
         }
     }
 
-    /** For the state: shares below 1, and what neighbours gave. */
+    /** For the state: what neighbours gave and lacked, and what was fetched ahead. */
     void state(StringBuilder s) {
         s.append("warming-given ").append(given).append('\n').append("warming-lacked ").append(lacked).append('\n')
                 .append("warming-ahead ").append(ahead).append('\n');
--- a/src/main/java/brooklock/members/Membership.java
+++ b/src/main/java/brooklock/members/Membership.java
@@ -71,7 +71,7 @@
             sources = sources.minus(Source.SETTINGS);
         }
         return settle(sources, state.byHand, n.full() ? null : n.members().stream().map(Member::id).toList(),
-                Result.TAKEN, sources.get(name).toString());
+                sources.get(name).toString());
     }
 
     // Null where it is next in its source's order.
@@ -97,7 +97,7 @@
     /** The hosts of the settings: in force until a source gives a full list. */
     public Answer settings(long wallMs, List<Member> hosts) {
         Source s = Source.silent(Source.SETTINGS).after(Notice.unnumbered(true, hosts), wallMs);
-        return settle(state.sources.plus(Source.SETTINGS, s), state.byHand, null, Result.TAKEN, s.toString());
+        return settle(state.sources.plus(Source.SETTINGS, s), state.byHand, null, s.toString());
     }
 
     /** Goes on from what was saved; hosts in zones that are not known any more are left out. */
@@ -110,7 +110,7 @@
             }
             sources = sources.plus(s.name(), new Source(s.name(), s.epoch(), s.number(), s.heardMs(), words));
         }
-        return settle(sources, saved.byHand, null, Result.TAKEN, "as saved");
+        return settle(sources, saved.byHand, null, "as saved");
     }
 
     // ---- By hand
@@ -123,7 +123,7 @@
         }
         PMap<Long, HostState> words = word == HostState.READY ? state.byHand.minus(m.id())
                 : state.byHand.plus(m.id(), word);
-        Answer a = settle(state.sources, words, List.of(m.id()), Result.TAKEN, "");
+        Answer a = settle(state.sources, words, List.of(m.id()), "");
         if (!a.taken()) {
             return a;
         }
@@ -158,13 +158,13 @@
         if (source == null || !state.sources.containsKey(source)) {
             return Answer.nothing(Result.UNKNOWN, "no source of the name '" + source + "' has been heard");
         }
-        return settle(state.sources.minus(source), state.byHand, null, Result.TAKEN, source + " is forgotten");
+        return settle(state.sources.minus(source), state.byHand, null, source + " is forgotten");
     }
 
     // ---- What is in force
 
     // Puts the words together and takes them if the whole fits; told are the given hosts, or all where null.
-    private Answer settle(PMap<String, Source> sources, PMap<Long, HostState> byHand, List<Long> about, Result how,
+    private Answer settle(PMap<String, Source> sources, PMap<Long, HostState> byHand, List<Long> about,
             String why) {
         PSortedMap<Long, Member> next = state.inForce;
         for (Long id : about == null ? everyone(sources) : about) {
@@ -194,7 +194,7 @@
                 }
             }
         }
-        return new Answer(how, why, List.copyOf(told), about == null);
+        return new Answer(Result.TAKEN, why, List.copyOf(told), about == null);
     }
 
     private Set<Long> everyone(PMap<String, Source> sources) {
--- a/src/main/java/brooklock/rehearsal/Lateness.java
+++ b/src/main/java/brooklock/rehearsal/Lateness.java
@@ -114,7 +114,6 @@
             }
         }, "lateness");
         t.setDaemon(true);
-        t.setPriority(Thread.NORM_PRIORITY);
         t.start();
     }
 
--- a/src/main/java/brooklock/rehearsal/Stage.java
+++ b/src/main/java/brooklock/rehearsal/Stage.java
@@ -109,7 +109,8 @@
         Settings.Guards g = script.guards();
         boolean parent = role == Role.PARENT;
         double falls = role == Role.ORIGIN ? 0 : parent ? g.parentFallMultiple() : g.fallMultiple();
-        StandInHost h = new StandInHost(hostNets.get(hosts.size() % HOST_THREADS), new HostModel(name, role, flows, script.pace, script.slots, script.copies
+        Net own = hostNets.get(hosts.size() % HOST_THREADS);
+        StandInHost h = new StandInHost(own, new HostModel(name, role, flows, script.pace, script.slots, script.copies
                 * (parent ? 4 : 1), parent ? g.parentColdFrom() : g.coldFrom(), parent ? g.parentColdNs() : g.coldNs(),
                 falls, g.overloadNs(), 2_000_000L, role == Role.ORIGIN ? script.originRate : 0), ledger, script::size,
                 cls -> meanWork.getOrDefault(cls, 1e7), origin, script.seed * 1000 + hosts.size());
--- a/src/test/java/brooklock/edge/WarmerTest.java
+++ b/src/test/java/brooklock/edge/WarmerTest.java
@@ -8,9 +8,12 @@
 import brooklock.RouterApi.HostState;
 import brooklock.config.HostId;
 import brooklock.config.Settings.Kind;
+import brooklock.http.Fields;
+import brooklock.http.RequestHead;
 import brooklock.members.ListText;
 import brooklock.members.Member;
 import brooklock.members.Notice;
+import brooklock.net.IoLoop;
 import brooklock.standin.Sighting;
 import brooklock.standin.StandInHost;
 import java.io.IOException;
@@ -18,6 +21,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -148,6 +153,19 @@
         }
     }
 
+    @Test
+    void aFetchAheadThatNobodyAnswersEndsByItsTime() throws Exception {
+        try (Bed bed = new Bed(dir, 1, 1, "").start()) {
+            bed.hosts.get("c1").faults.silent = true;
+            CompletableFuture<Integer> status = new CompletableFuture<>();
+            IoLoop loop = bed.edge.loop(0);
+            loop.execute(() -> new FetchAhead(bed.edge, HostId.of("c1"), HostId.of("p1"), (s, f, at) -> status.complete(s))
+                    .send(loop, bed.hosts.get("c1").address(), new RequestHead("GET", "/scans/g1/x/0", "a", 1,
+                    new Fields().add("Via", "1.1 d1"))));
+            assertEquals(0, status.get(20, TimeUnit.SECONDS));
+        }
+    }
+
     private static boolean fetched(Bed bed) {
         return bed.ledger.sightings().stream().anyMatch(s -> s.host.equals("c1") && s.straight() && s.request == null
                 && s.source != null && s.source.startsWith("c"));
