--- a/src/main/java/brooklock/warming/Giver.java
+++ b/src/main/java/brooklock/warming/Giver.java
@@ -87,7 +87,9 @@
         boolean known = util >= 0 && now - heardAt < Ahead.STALE_NS;
         long steps = (now - grownAt) / STEP_NS;
         if (steps > 0) {
-            part = known && util < ROOMY ? Math.min(1, part + STEP * steps) : part;
+            // One that tells nothing comes back to the trickle: it tells something only once it is asked.
+            double most = !known ? Math.max(part, UNHEARD) : util < ROOMY ? 1 : part;
+            part = Math.min(most, part + STEP * steps);
             grownAt += steps * STEP_NS;
         }
         return now >= restUntil && budget.any(ownPerNs * share * (known ? part : Math.min(part, UNHEARD)), now);
--- a/src/test/java/brooklock/rehearsal/RehearsalTest.java
+++ b/src/test/java/brooklock/rehearsal/RehearsalTest.java
@@ -142,12 +142,12 @@
     @Test
     void twentyCachesBackColdTogetherWhileTheOriginRefusesAreWarmedAndNobodyIsPushedOver() throws Exception {
         String day = DAY.replace("zone north 5 2", "zone north 20 2\nzone south 6 1").replace("rate 120/s", "rate 220/s")
-                .replace("length 6s", "length 9s") + """
-                warming all share 0.5
-                at 2s restart zone north within 1s
-                from 2s to 6s refuse 60% at origin
-                at 3s purge 20% of groups
-                at 4s drain south-1 for 2s
+                .replace("length 6s", "length 16s") + """
+                warming all share 1
+                at 7s restart zone north within 1s
+                from 7s to 11s refuse 60% at origin
+                at 8s purge 20% of groups
+                at 9s drain south-1 for 2s
                 """;
         long[] given = new long[1];
         Rehearsal.Outcome o = Rehearsal.play(Script.parse("day", day), dir, inside(Decider::rules), l -> { },
--- a/src/test/java/brooklock/warming/WarmingTest.java
+++ b/src/test/java/brooklock/warming/WarmingTest.java
@@ -93,6 +93,16 @@
             w.heard(5, report(0.2, 0.9, at));
             assertEquals(0, w.neighbour(1, 1, 0, at), "it failed just now");
         }
+        Warming<String> failedOnce = fleet(LAW, now);
+        failedOnce.given(2, Given.FAILED, now + 5 * S);
+        failedOnce.given(3, Given.FAILED, now + 5 * S);
+        long asked2 = 0;
+        for (long at = now + 5 * S; at < now + 20 * S; at += 10 * MS) {
+            // Nobody tells anything by itself, but this one has clients whose pace is known.
+            failedOnce.answered(4, true, false, at);
+            asked2 += failedOnce.neighbour(1, 1, 0, at) == 2 ? 1 : 0;
+        }
+        assertTrue(asked2 > 0, "a failure is not for good, though it tells nothing until it is asked");
         Warming<String> ailing = fleet(LAW, now);
         for (long at = now; at < now + 3 * S; at += 50 * MS) {
             ailing.heard(2, report(0.2, 0.9, at));
