--- a/src/main/java/brooklock/config/Settings.java
+++ b/src/main/java/brooklock/config/Settings.java
@@ -118,9 +118,9 @@
      * @param share what warming may ask of a neighbour, of what this dispatcher sends it itself
      * @param saved where what was learned is written down; null for nowhere
      */
-    public record Warming(boolean allowed, boolean anyZone, double share, Path saved) {
+    public record Warming(boolean allowed, boolean anyZone, double share, double bears, Path saved) {
         /** They may not. */
-        public static final Warming NONE = new Warming(false, false, 0.1, null);
+        public static final Warming NONE = new Warming(false, false, 0.1, 0, null);
     }
 
     /** Where things are written; null where they are not. */
--- a/src/main/java/brooklock/config/SettingsReader.java
+++ b/src/main/java/brooklock/config/SettingsReader.java
@@ -387,16 +387,23 @@
             throw new IllegalArgumentException("'" + from + "': caches fill from neighbours of their zone, of all, or no");
         }
         double share = warming.share();
+        double bears = 0;
         Path saved = null;
         while (l.more()) {
             String word = l.word("an option");
             switch (word) {
                 case "share" -> share = share(l);
+                case "bears" -> {
+                    bears = Units.perSecond(l.word("requests a second that a warm cache bears, as in 200/s"));
+                    if (bears <= 0) {
+                        throw new IllegalArgumentException("a cache that bears 0/s bears nothing");
+                    }
+                }
                 case "saved" -> saved = path(l);
-                default -> throw new IllegalArgumentException("'" + word + "' is not an option of warming (share, saved)");
+                default -> throw new IllegalArgumentException("'" + word + "' is not an option of warming (share, bears, saved)");
             }
         }
-        warming = new Settings.Warming(!from.equals("no"), from.equals("all"), share, saved);
+        warming = new Settings.Warming(!from.equals("no"), from.equals("all"), share, bears, saved);
     }
 
     // ---- The whole
--- a/src/main/java/brooklock/config/Units.java
+++ b/src/main/java/brooklock/config/Units.java
@@ -28,6 +28,14 @@
         return with(text.substring(0, text.length() - 2), SIZES, "a pace needs its unit, as in 5MB/s");
     }
 
+    /** So many a second. */
+    public static double perSecond(String text) {
+        if (!text.endsWith("/s")) {
+            throw new IllegalArgumentException("'" + text + "': a rate needs its unit, as in 200/s");
+        }
+        return number(text.substring(0, text.length() - 2));
+    }
+
     /** A plain number, 0 or more. */
     public static double number(String text) {
         int end = digits(text);
--- a/src/main/java/brooklock/edge/Attempt.java
+++ b/src/main/java/brooklock/edge/Attempt.java
@@ -191,7 +191,8 @@
         } else {
             ClassLine c = exchange.match.line();
             boolean late = tookNs > c.aimNs() + c.stretch() * exchange.bytes / edge.settings.fleet().pace() * 1e9;
-            edge.decisions.tell(done, () -> edge.warmer().ended(done, first, report, firstGave, ofFirst, late));
+            edge.decisions.tell(done, () -> edge.warmer().ended(done, exchange.match, get.keep() > 0, first, report,
+                    firstGave, ofFirst, late));
         }
         exchange.ended(this);
     }
--- a/src/main/java/brooklock/edge/Warmer.java
+++ b/src/main/java/brooklock/edge/Warmer.java
@@ -70,7 +70,8 @@
         this.edge = edge;
         settings = edge.settings;
         Settings.Guards g = settings.guards();
-        core = new Warming<>(new Law(settings.warming().anyZone(), settings.warming().share(), g.coldFrom(), g.coldNs(),
+        core = new Warming<>(new Law(settings.warming().anyZone(), settings.warming().share(),
+                settings.warming().bears() / 1e9, settings.dispatchers(), g.coldFrom(), g.coldNs(),
                 g.fallMultiple(), g.overloadNs()), (object, part, host) -> Rules.score(Rules.copy(object, part), host, 1),
                 settings.here(), settings.name(), edge.clock.now());
     }
@@ -127,33 +128,35 @@
     }
 
     /** An attempt has ended. */
-    void ended(Done d, long neighbour, Report report, String first, Report ofNeighbour, boolean late) {
+    void ended(Done d, Routes.Match asked, boolean keeps, long neighbour, Report report, String first, Report ofNeighbour, boolean late) {
         long now = edge.clock.now();
         if (report != null) {
             core.heard(d.host(), report);
         }
         if (d.outcome() == Outcome.OK) {
             core.answered(d.host(), d.note() == Note.HIT, late, now);
+            if (keeps) {
+                core.filled(d.host(), asked.object(), asked.part());
+            }
         } else if ((d.outcome() == Outcome.FULL || d.outcome() == Outcome.ERROR) && d.note() == Note.NONE
                 || d.outcome() == Outcome.TIMEOUT || d.outcome() == Outcome.CONNECT_FAILED || d.outcome() == Outcome.RESET) {
             core.refused(d.host(), d.outcome() == Outcome.CONNECT_FAILED || d.outcome() == Outcome.RESET, now);
         }
-        if (d.note() == Note.ORIGIN_FAILED || d.note() == Note.SOURCE_REFUSED) {
-            core.originRefused(now);
-        }
         if (neighbour != 0 && ofNeighbour != null) {
             core.heard(neighbour, ofNeighbour);
         }
         if (neighbour != 0 && first != null) {
-            given(neighbour, first, now);
+            given(d.host(), neighbour, first, now);
+        } else if (neighbour != 0 && d.outcome() == Outcome.OK && d.note() == Note.HIT) {
+            core.unasked(neighbour);
         }
     }
 
-    private void given(long neighbour, String first, long now) {
+    private void given(long host, long neighbour, String first, long now) {
         Given how = first.equals("gave") ? Given.GAVE : first.equals("lacked") ? Given.LACKED : Given.FAILED;
         given += how == Given.GAVE ? 1 : 0;
         lacked += how == Given.LACKED ? 1 : 0;
-        core.given(neighbour, how, now);
+        core.given(host, neighbour, how, now);
     }
 
     // ---- By itself
@@ -219,14 +222,20 @@
         long now = edge.clock.now();
         core.fetched(f, status == 0 || status == 503, now);
         if (status == 204) {
-            given(f.source(), "gave", now);
+            given(f.host(), f.source(), "gave", now);
         } else if (status == 504) {
-            given(f.source(), "lacked", now);
+            given(f.host(), f.source(), "lacked", now);
+        } else if (status == 502) {
+            given(f.host(), f.source(), "failed", now);
         }
         Report r = fields == null ? null : report(fields, "Brooklock-Load", sentAt, now);
         if (r != null) {
             core.heard(f.host(), r);
         }
+        Report ofSource = fields == null ? null : report(fields, "Brooklock-First-Load", sentAt, now);
+        if (ofSource != null) {
+            core.heard(f.source(), ofSource);
+        }
     }
 
     /** What a host says of itself, or null. */
--- a/src/main/java/brooklock/rehearsal/Rehearsal.java
+++ b/src/main/java/brooklock/rehearsal/Rehearsal.java
@@ -2,6 +2,7 @@
 
 import brooklock.config.SettingsException;
 import brooklock.edge.Decider;
+import brooklock.standin.Ledger;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
@@ -19,18 +20,28 @@
     /** Whether the rules were kept. */
     public enum Verdict { KEPT, BROKEN, NOT_JUDGED }
 
+    /** A client's wish for one part; when it was due, and whether it was met in time. */
+    public record Wished(String target, long dueNs, boolean inTime) {
+    }
+
+    /** What was written down on a day. Times are {@link System#nanoTime}. */
+    public record Records(long begunNs, Ledger ledger, List<Wished> wishes) {
+    }
+
     /** What came of a day. */
     public static final class Outcome {
         final List<Audit.Verdict> verdicts;
         final Service service;
         private final List<String> faults;
         private final String ends;
+        private final Records records;
 
-        Outcome(List<Audit.Verdict> verdicts, Service service, List<String> faults, String ends) {
+        Outcome(List<Audit.Verdict> verdicts, Service service, List<String> faults, String ends, Records records) {
             this.faults = faults;
             this.verdicts = verdicts;
             this.service = service;
             this.ends = ends;
+            this.records = records;
         }
 
         /** Whether every rule was seen and none broken; not judged where the rig was late itself. */
@@ -51,6 +62,11 @@
             return service.all.share();
         }
 
+        /** What was written down. */
+        public Records records() {
+            return records;
+        }
+
         /** This day between one of a router that picks at random, 0, and one of a router that sees all, 1. */
         public String scale(Outcome random, Outcome informed) {
             return service.scale(random.service, informed.service);
@@ -141,7 +157,8 @@
             Thread.sleep(AFTER_NS / 1_000_000);
             after.accept(stage);
             return new Outcome(new Audit(stage).all(), new Service(script, begun, stage.crowd.wishes, stage.lateness),
-                    List.copyOf(stage.lateness.faults), ends(stage));
+                    List.copyOf(stage.lateness.faults), ends(stage), new Records(begun, stage.ledger,
+                    stage.crowd.wishes.stream().map(w -> new Wished(w.target, w.dueNs, w.inTime())).toList()));
         }
     }
 
--- a/src/main/java/brooklock/standin/Sighting.java
+++ b/src/main/java/brooklock/standin/Sighting.java
@@ -14,6 +14,8 @@
     public final String request;
     /** Number of the attempt. */
     public final int attempt;
+    /** The path asked for. */
+    public final String target;
     /** The object asked for. */
     public final long object;
     /** Its purge group. */
@@ -26,6 +28,12 @@
     volatile String first;
     /** What that neighbour said of itself. */
     volatile String firstLoad;
+    /** Whether it was given from what the host held. */
+    public volatile boolean held;
+    /** Bytes of the copy that was given. */
+    public volatile int bytes;
+    /** Share of 1 of what the host bore while cold that had reached it with this; 0 where it was warm. */
+    public volatile double pressed;
     /** Whether it came after the host's start when the host was still cold. */
     public volatile boolean cold;
     /** Serial of the copy that was given, 0 for none. */
@@ -35,12 +43,13 @@
     /** Whether an effect took place here. */
     public volatile boolean ran;
 
-    Sighting(long atNs, String host, Ask a) {
+    Sighting(long atNs, String host, String target, Ask a) {
         this.atNs = atNs;
         this.host = host;
         from = a.from();
         by = a.by();
         request = a.request();
+        this.target = target;
         attempt = a.attempt();
         object = a.object();
         group = a.group();
@@ -53,6 +62,11 @@
         return from.equals(by);
     }
 
+    /** Whether it was given from what a neighbour held. */
+    public boolean fromNeighbour() {
+        return "gave".equals(first);
+    }
+
     @Override
     public String toString() {
         return "request " + request + " try " + attempt + " by " + by + " of " + from + " at " + host;
--- a/src/main/java/brooklock/warming/Budget.java
+++ b/src/main/java/brooklock/warming/Budget.java
@@ -1,34 +1,51 @@
 package brooklock.warming;
 
 /**
- * Permission for one thing after the other, at a rate: it fills with time, up to a bound, and is spent. It begins at a
- * phase of its own, so that many dispatchers that begin at the same moment do not all spend their first at once: their
- * sum then rises as smoothly as one budget of their summed rate.
+ * Permission for one thing after the other, at a rate. Each begins at a phase of its own and a permission that is not used
+ * lapses, so that many dispatchers that all want something at the same moment do not all spend what they saved up: within
+ * a span S all together do no more than their summed rate permits in S and the time of lapsing.
  */
 final class Budget {
-    // Things that may be saved up. Not more: what many have saved up they may all spend within one span.
-    private static final double SAVED = 1;
-
+    private final long lapseNs;
+    // Things permitted: the whole ones came one after the other, the rest is on its way.
     private double left;
     private long at;
 
-    /** At a phase from 0 to 1: so much of the first thing is permitted already. */
-    Budget(double phase, long now) {
+    /**
+     * With nothing permitted yet.
+     *
+     * @param phase from 0 up to 1: how far the first thing is on its way
+     * @param lapseNs how long a permission lasts
+     */
+    Budget(double phase, long lapseNs, long now) {
         if (!(phase >= 0 && phase < 1)) {
             throw new IllegalArgumentException("a phase lies from 0 up to 1");
         }
+        this.lapseNs = lapseNs;
         left = phase;
         at = now;
     }
 
     /** Whether one is permitted now at a rate a ns; {@link #spend} is to follow if it is done. */
     boolean any(double perNs, long now) {
-        left = Math.min(Math.max(SAVED, left), left + Math.max(0, perNs) * Math.max(0, now - at));
+        double rate = Math.max(0, perNs);
+        left += rate * Math.max(0, now - at);
         at = Math.max(at, now);
+        double since = left - 1;
+        if (since >= 1 || since > rate * lapseNs) {
+            // Older than it may be: of the permissions since, the newest is there or has lapsed as well.
+            since -= Math.floor(since);
+            left = since <= rate * lapseNs ? 1 + since : since;
+        }
         return left >= 1;
     }
 
     void spend() {
         left--;
     }
+
+    /** What was spent was not used after all. */
+    void unspent() {
+        left++;
+    }
 }
--- a/src/main/java/brooklock/warming/Giver.java
+++ b/src/main/java/brooklock/warming/Giver.java
@@ -1,16 +1,19 @@
 package brooklock.warming;
 
 /**
- * How much warming may ask of one neighbour: a share of what this dispatcher sends it anyway. All dispatchers together
- * send it what it bears, so all together ask no more than that share of what it bears on top, however many they are. The
- * share grows while the neighbour has room and is cut, to nothing at last, as its own clients need it.
+ * How much warming may ask of one neighbour: a share of this dispatcher's part of what it bears, of which as much counts
+ * as it says is free. All dispatchers together so ask no more than that share of what it bears on top, however many they
+ * are and whatever it says. The share grows while the neighbour has room and is cut, to nothing at last, as its own
+ * clients need it.
  */
 final class Giver {
     private static final double STEP = 0.1;
-    private static final long STEP_NS = 1_000_000_000L;
+    private static final long STEP_NS = 500_000_000L;
+    // Half at first: a neighbour that is well can be asked as soon as it is needed.
+    private static final double FIRST = 0.5;
     private static final long CUT_NS = 250_000_000L;
     // Its part while it has told nothing lately: one of another location tells only when it is asked.
-    private static final double UNHEARD = 0.05;
+    private static final double UNHEARD = 0.1;
     private static final double ROOMY = 0.6;
     private static final double BUSY = 0.75;
     private static final double FULL = 0.9;
@@ -22,7 +25,7 @@
 
     private final Budget budget;
     // Of the share that the settings allow.
-    private double part = STEP;
+    private double part = FIRST;
     private long grownAt;
     private long cutAt;
     private long restUntil;
@@ -31,8 +34,8 @@
     private double util = -1;
     private long heardAt;
 
-    Giver(double phase, long now) {
-        budget = new Budget(phase, now);
+    Giver(double phase, long lapseNs, long now) {
+        budget = new Budget(phase, lapseNs, now);
         grownAt = now;
         cutAt = now - CUT_NS;
     }
@@ -80,10 +83,10 @@
     /**
      * Whether it may be asked for one more now.
      *
-     * @param ownPerNs requests a ns that this dispatcher sends a cache itself
+     * @param partPerNs this dispatcher's part of what a warm cache bears, requests a ns
      * @param share the most that the settings allow, of 1
      */
-    boolean may(double ownPerNs, double share, long now) {
+    boolean may(double partPerNs, double share, long now) {
         boolean known = util >= 0 && now - heardAt < Ahead.STALE_NS;
         long steps = (now - grownAt) / STEP_NS;
         if (steps > 0) {
@@ -92,13 +95,19 @@
             part = Math.min(most, part + STEP * steps);
             grownAt += steps * STEP_NS;
         }
-        return now >= restUntil && budget.any(ownPerNs * share * (known ? part : Math.min(part, UNHEARD)), now);
+        double spare = known ? Math.max(0, 1 - util) * part : Math.min(part, UNHEARD);
+        return now >= restUntil && budget.any(partPerNs * share * spare, now);
     }
 
     void spend() {
         budget.spend();
     }
 
+    /** It was named and not asked: the cold cache had it. */
+    void unspent() {
+        budget.unspent();
+    }
+
     double part() {
         return part;
     }
--- a/src/main/java/brooklock/warming/HotParts.java
+++ b/src/main/java/brooklock/warming/HotParts.java
@@ -28,6 +28,9 @@
         final T how;
         final long order;
         int times;
+        // The cache that it belongs to, and in which list of caches that is so.
+        long owner;
+        int ownerIn = -1;
 
         Hot(Key key, T how, long order) {
             this.key = key;
@@ -72,14 +75,17 @@
         turnAt = nowNs + INTERVAL_NS;
     }
 
-    /** Those asked for at least twice, hottest first by doublings, in each by an order of this dispatcher's own. */
+    /**
+     * Those listed, as the module lists objects: asked for in the last interval, or twice in this one. Hottest first by
+     * doublings, in each by an order of this dispatcher's own.
+     */
     List<Hot<T>> hottest(long nowNs) {
         turn(nowNs);
         Map<Key, Hot<T>> all = new LinkedHashMap<>(before);
         all.putAll(now);
         List<Hot<T>> hot = new ArrayList<>();
         all.values().forEach(h -> {
-            if (h.times > 1) {
+            if (h.times > 1 || before.containsKey(h.key)) {
                 hot.add(h);
             }
         });
--- a/src/main/java/brooklock/warming/Pace.java
+++ b/src/main/java/brooklock/warming/Pace.java
@@ -9,12 +9,17 @@
     private long at;
 
     void add(double amount, long now) {
-        sum = sum * Math.exp((at - now) / SPAN_NS) + amount;
+        sum = sum(now) + amount;
         at = now;
     }
 
+    /** What is left of all that was added. */
+    double sum(long now) {
+        return sum * Math.exp((at - now) / SPAN_NS);
+    }
+
     /** Mean a ns over the span. */
     double perNs(long now) {
-        return sum * Math.exp((at - now) / SPAN_NS) / SPAN_NS;
+        return sum(now) / SPAN_NS;
     }
 }
--- a/src/main/java/brooklock/warming/Warming.java
+++ b/src/main/java/brooklock/warming/Warming.java
@@ -1,9 +1,11 @@
 package brooklock.warming;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -23,20 +25,21 @@
     private static final long EMPTY_NS = 120_000_000_000L;
     // Share of its neighbours' share of hits at which a cache has its copies back.
     private static final double FILLED = 0.9;
-    // Above any score: puts the own location first.
-    private static final double NEAR = 1e12;
-    // After refusals of the origin nothing is fetched ahead for so long, twice as long with each that follows, so often.
-    private static final long CROWDED_NS = 1_000_000_000L;
-    private static final int DOUBLED = 4;
     // Parts looked at for fetching ahead in one go, and time until the list of the hottest is made anew.
     private static final int LOOKED_AT = 64;
+    // Of those that belong to one cold cache, the hottest kept at hand.
+    private static final int QUEUED = 256;
+    // Parts in a row that cannot be fetched now, and are passed over.
+    private static final int PASSED_OVER = 8;
+    // Neighbours of the own location are asked first while they give at least this part as often as those elsewhere.
+    private static final double NEARER = 0.5;
     private static final long LIST_NS = 1_000_000_000L;
     // Connections broken one after the other from which a cache is taken for dead and back, as the module does.
     private static final int BROKE = 3;
     // How often what holds for all caches is reckoned anew.
     private static final long LOOK_NS = 100_000_000L;
-    // Most parts remembered as fetched at one cache.
-    private static final int FETCHED_MOST = 20_000;
+    // Most parts remembered as there at one cache.
+    private static final int THERE_MOST = 20_000;
 
     /** Weight of a cache for a part, as the module hashes: the same order, or neighbours would be asked in vain. */
     public interface Order {
@@ -69,10 +72,29 @@
         Ahead ahead;
         Giver giver;
         double hits = -1;
-        Set<HotParts.Key> fetched = new HashSet<>();
+        // What was fetched there or filled since its start.
+        Set<HotParts.Key> there = new HashSet<>();
+        final Luck near = new Luck();
+        final Luck far = new Luck();
         double told = 1;
     }
 
+    /** How often neighbours of a kind held what was asked of them lately. */
+    private static final class Luck {
+        final Pace asked = new Pace();
+        final Pace gave = new Pace();
+
+        void came(boolean well, long now) {
+            asked.add(1, now);
+            gave.add(well ? 1 : 0, now);
+        }
+
+        // By Laplace's rule: a half before anything is known.
+        double chance(long now) {
+            return (gave.sum(now) + 1) / (asked.sum(now) + 2);
+        }
+    }
+
     private final Law law;
     private final Order order;
     private final int zone;
@@ -83,11 +105,11 @@
     private List<HotParts.Hot<T>> hottest = List.of();
     private long listAt;
     private int listFrom;
+    private int listNumber;
+    private final Map<Known, ArrayDeque<HotParts.Hot<T>>> queues = new LinkedHashMap<>();
     private final Map<Integer, Double> hitsByZone = new HashMap<>();
     private int warmPeers;
     private long lookAt;
-    private long crowdedUntil;
-    private int crowded;
 
     /**
      * With nothing known.
@@ -118,6 +140,7 @@
             }
         }
         caches.keySet().retainAll(named);
+        listNumber++;
         lookAt = now;
     }
 
@@ -126,13 +149,13 @@
         k.startedNs = at;
         k.ramp = null;
         k.ahead = null;
-        k.giver = new Giver(phase(k, 1), now);
+        k.giver = new Giver(phase(k, 1), law.lapseNs(), now);
         k.hits = -1;
         k.broke = 0;
-        k.fetched = new HashSet<>();
+        k.there = new HashSet<>();
         if (at > 0 && now - at < EMPTY_NS) {
             k.ramp = new Ramp(at, now);
-            k.ahead = new Ahead(phase(k, 2), now);
+            k.ahead = new Ahead(phase(k, 2), law.lapseNs(), now);
         }
     }
 
@@ -159,6 +182,20 @@
         }
     }
 
+    /** A part was given by a cold cache, and is kept there: it need not be fetched ahead. */
+    public void filled(long host, long object, int part) {
+        Known k = caches.get(host);
+        if (k != null && k.ramp != null) {
+            there(k, new HotParts.Key(object, part));
+        }
+    }
+
+    private static void there(Known k, HotParts.Key key) {
+        if (k.there.size() < THERE_MOST) {
+            k.there.add(key);
+        }
+    }
+
     /**
      * A cache answered a client's request.
      *
@@ -175,12 +212,10 @@
             look(now);
             served.add(1.0 / Math.max(1, warmPeers), now);
         }
-        if (k.ramp != null && late) {
+        if (k.ramp != null && late && hit) {
+            // What it had itself came late: it is its own link that is short, and no source's.
+            k.ramp.crowded(now);
             k.ahead.stop(now);
-            if (hit) {
-                // What it had itself came late: it is its own link that is short.
-                k.ramp.crowded(now);
-            }
         }
     }
 
@@ -206,22 +241,24 @@
         }
     }
 
-    /** The origin refused a fill: nothing that could add to its crowd is begun for a while. */
-    public void originRefused(long now) {
-        if (now >= crowdedUntil) {
-            crowded = Math.min(DOUBLED, crowded + 1);
+    /** A neighbour was named for what the cold cache had itself: it was not asked. */
+    public void unasked(long neighbour) {
+        Known k = caches.get(neighbour);
+        if (k != null) {
+            k.giver.unspent();
         }
-        // Uneven, so that dispatchers do not come back all together.
-        crowdedUntil = now + (long) ((CROWDED_NS << crowded - 1)
-                * (0.5 + Mix.phase(Mix.of(name, crowded, now))));
     }
 
-    /** A neighbour was asked first, for a miss or ahead. */
-    public void given(long neighbour, Given how, long now) {
+    /** A neighbour was asked first for a cold cache, for a miss or ahead. */
+    public void given(long host, long neighbour, Given how, long now) {
         Known k = caches.get(neighbour);
         if (k == null) {
             return;
         }
+        Known cold = caches.get(host);
+        if (cold != null && how != Given.FAILED) {
+            (k.cache.zone() == cold.cache.zone() ? cold.near : cold.far).came(how == Given.GAVE, now);
+        }
         switch (how) {
             case GAVE -> k.giver.gave();
             case LACKED -> k.giver.lacked(now);
@@ -280,21 +317,28 @@
         return from;
     }
 
-    // The nearest by hash of those that may hold it: it took over while this one was gone, or held it beside it.
+    // Of the own location the two nearest by hash, which took over while this one was gone; elsewhere the nearest, which
+    // holds it for its own clients. The kind goes first that had more of late.
     private long giver(Known cold, long object, int part, long now) {
-        double own = served.perNs(now);
+        double each = law.partPerNs(served.perNs(now));
         Known first = null;
         Known second = null;
+        Known far = null;
         double firstScore = 0;
         double secondScore = 0;
+        double farScore = 0;
         for (Known k : caches.values()) {
             boolean near = k.cache.zone() == cold.cache.zone();
             if (k == cold || !k.cache.ready() || !near && !law.anyZone() || !warm(k, now) || k.ramp != null && empty(k, now)) {
                 continue;
             }
-            // Those of the own location first: there by hash it was held; elsewhere by the same hash, if at all.
-            double score = order.score(object, part, k.cache.host()) + (near ? NEAR : 0);
-            if (first == null || score > firstScore) {
+            double score = order.score(object, part, k.cache.host());
+            if (!near) {
+                if (far == null || score > farScore) {
+                    far = k;
+                    farScore = score;
+                }
+            } else if (first == null || score > firstScore) {
                 second = first;
                 secondScore = firstScore;
                 first = k;
@@ -304,8 +348,13 @@
                 secondScore = score;
             }
         }
-        return first != null && first.giver.may(own, law.neighbourShare(), now) ? first.cache.host()
-                : second != null && second.giver.may(own, law.neighbourShare(), now) ? second.cache.host() : 0;
+        boolean farFirst = far != null && cold.near.chance(now) < NEARER * cold.far.chance(now);
+        for (Known k : farFirst ? new Known[] {far, first, second} : new Known[] {first, second, far}) {
+            if (k != null && k.giver.may(each, law.neighbourShare(), now)) {
+                return k.cache.host();
+            }
+        }
+        return 0;
     }
 
     private boolean warm(Known k, long now) {
@@ -349,44 +398,65 @@
     public List<Fetch<T>> ahead(long now, BiPredicate<Long, T> allowed) {
         List<Known> cold = caches.values().stream().filter(k -> k.ahead != null && k.cache.ready()
                 && k.cache.zone() == zone && empty(k, now)).toList();
-        if (cold.isEmpty() || now < crowdedUntil) {
+        if (cold.isEmpty()) {
             return List.of();
         }
-        crowded = now - crowdedUntil > CROWDED_NS << crowded ? 0 : crowded;
-        if (now >= listAt || listFrom >= hottest.size()) {
+        queue(cold, now);
+        List<Fetch<T>> all = new ArrayList<>();
+        double each = law.partPerNs(served.perNs(now));
+        for (Known k : cold) {
+            ArrayDeque<HotParts.Hot<T>> queue = queues.get(k);
+            int passed = 0;
+            while (queue != null && !queue.isEmpty() && passed < PASSED_OVER
+                    && k.ahead.may(law, law.warmth(now - k.startedNs), each, now)) {
+                HotParts.Hot<T> h = queue.poll();
+                if (k.there.contains(h.key)) {
+                    continue;
+                }
+                long from = allowed.test(h.key.object(), h.how) ? giver(k, h.key.object(), h.key.part(), now) : 0;
+                if (from == 0) {
+                    queue.add(h);
+                    passed++;
+                    continue;
+                }
+                k.ahead.spend();
+                caches.get(from).giver.spend();
+                there(k, h.key);
+                all.add(new Fetch<>(k.cache.host(), from, h.key.object(), h.key.part(), h.how));
+            }
+        }
+        return all;
+    }
+
+    // Gives each cold cache its own of the hottest parts, some more each time, from the hottest on anew each second.
+    private void queue(List<Known> cold, long now) {
+        if (now >= listAt) {
             hottest = hot.hottest(now);
             listAt = now + LIST_NS;
             listFrom = 0;
+            queues.clear();
+            cold.forEach(k -> queues.put(k, new ArrayDeque<>()));
         }
-        List<Fetch<T>> all = new ArrayList<>();
-        double own = served.perNs(now);
-        for (int i = 0; i < LOOKED_AT && listFrom < hottest.size(); i++) {
-            HotParts.Hot<T> h = hottest.get(listFrom++);
-            Known k = owner(h.key);
-            if (k == null || !cold.contains(k) || k.fetched.contains(h.key) || !allowed.test(h.key.object(), h.how)) {
-                continue;
-            }
-            if (!k.ahead.may(law, law.warmth(now - k.startedNs), own, now)) {
-                continue;
+        for (int reckoned = 0; reckoned < LOOKED_AT && listFrom < hottest.size(); listFrom++) {
+            HotParts.Hot<T> h = hottest.get(listFrom);
+            if (h.ownerIn != listNumber) {
+                h.owner = owner(h.key);
+                h.ownerIn = listNumber;
+                reckoned++;
             }
-            long from = giver(k, h.key.object(), h.key.part(), now);
-            if (from == 0) {
-                continue;
-            }
-            k.ahead.spend();
-            caches.get(from).giver.spend();
-            if (k.fetched.size() < FETCHED_MOST) {
-                k.fetched.add(h.key);
+            Known k = caches.get(h.owner);
+            ArrayDeque<HotParts.Hot<T>> queue = k == null ? null : queues.get(k);
+            if (queue != null && queue.size() < QUEUED && !k.there.contains(h.key)) {
+                queue.add(h);
             }
-            all.add(new Fetch<>(k.cache.host(), from, h.key.object(), h.key.part(), h.how));
         }
-        return all;
     }
 
-    // The cache of the own location that a part belongs to.
-    private Known owner(HotParts.Key key) {
+    // The cache of the own location that a part belongs to; 0 where there is none.
+    private long owner(HotParts.Key key) {
         return caches.values().stream().filter(k -> k.cache.ready() && k.cache.zone() == zone)
-                .max(Comparator.comparingDouble(k -> order.score(key.object(), key.part(), k.cache.host()))).orElse(null);
+                .max(Comparator.comparingDouble(k -> order.score(key.object(), key.part(), k.cache.host())))
+                .map(k -> k.cache.host()).orElse(0L);
     }
 
     // ---- What is written down
--- a/src/test/java/brooklock/config/SettingsTest.java
+++ b/src/test/java/brooklock/config/SettingsTest.java
@@ -52,6 +52,8 @@
         assertEquals(2, s.routes().get(1).unkeyed());
         assertEquals(Path.of("/base/trace.log"), s.files().trace());
         assertEquals(17_000_000_000L, s.guards().coldNs());
+        assertEquals(250, SettingsReader.parse("f.conf", Path.of("/base"), RIGHT + "warming all share 0.2 bears 250/s\n")
+                .warming().bears());
     }
 
     @ParameterizedTest
@@ -85,6 +87,9 @@
         "trace trace.log 64MB | trace trace.log | f.conf:18: 'trace' needs the most bytes, as in 64MB",
         "trace trace.log 64MB | serve all | f.conf:18: 'serve' is not a statement",
         "trace trace.log 64MB | name d2 | f.conf:18: 'name' stands in line 1 already",
+        "trace trace.log 64MB | warming all bears 200 | f.conf:18: '200': a rate needs its unit, as in 200/s",
+        "trace trace.log 64MB | warming all bears 0/s | f.conf:18: a cache that bears 0/s bears nothing",
+        "trace trace.log 64MB | warming all bear 9/s | f.conf:18: 'bear' is not an option of warming (share, bears, saved)",
         "here north | here north now | f.conf:6: 'now' is one word too many",
     })
     void mistakesAreToldInPlainWords(String right, String wrong, String message) {
