--- a/src/main/java/brooklock/rehearsal/Crowd.java
+++ b/src/main/java/brooklock/rehearsal/Crowd.java
@@ -15,6 +15,8 @@
     static final long GRACE_NS = 300_000_000L;
     // Threads that the clients share: one alone cannot make the handshakes of a day over TLS.
     private static final int LANES = 4;
+    // Handshakes of one thread with one dispatcher at a time: a cold dispatcher makes a few dozen a second.
+    private static final int OPENINGS = 8;
 
     /** One client's wish for one part, with all its tries. */
     static final class Wish {
@@ -59,7 +61,8 @@
 
     Crowd(Script script, List<List<Runner>> byPlace, List<Runner> dispatchers, Passes passes, Lateness lateness)
             throws IOException {
-        ClientLimits limits = ClientLimits.STANDARD.withConnections(4096, 4096, 256).withConnectNs(5_000_000_000L);
+        ClientLimits limits = ClientLimits.STANDARD.withConnections(4096, 4096, 256).withOpenings(OPENINGS)
+                .withConnectNs(5_000_000_000L);
         for (int i = 0; i < LANES; i++) {
             lanes.add(new Lane(this, i, LANES, script, net.loop(i), new Client(net.loop(i), limits, passes.clients()),
                     byPlace, dispatchers, passes));
