A decision's cost hardly grows with the caches: the nearest is found, not all sorted

The module scored every cache of its location with a logarithm and sorted them all for each request, though the first or second will mostly do, and summed the warm peers' weights anew for each answer. Now the nearest are found one by one (the rest is sorted where eight will not do), the logarithm is taken only where weights differ, and the weight of the warm is kept until a list, a start or time changes it.

--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -2,6 +2,7 @@
 
 import brooklock.RouterApi.*;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -84,6 +85,8 @@
     private static final double MISS_START = 0.3;
     // Weight of one new sample in a running mean.
     private static final double MEAN_WEIGHT = 0.05;
+    // Caches found one by one before the rest is sorted: a sort costs as much as about so many passes.
+    private static final int SCANS = 8;
 
     private final Settings set;
     private final TreeMap<Long, Host> hosts = new TreeMap<>();
@@ -92,6 +95,9 @@
     private final List<Host> nearParents = new ArrayList<>();
     private final List<Host> farParents = new ArrayList<>();
     private Host origin;
+    // Of caches and of parents: the warm ones' weight, and until when it holds.
+    private final double[] warmWeight = new double[2];
+    private final long[] warmUntil = {Long.MIN_VALUE, Long.MIN_VALUE};
     private final Map<Long, Req> requests = new HashMap<>();
     private final Map<Long, Alarm> alarms = new HashMap<>();
     private final Map<Long, Long> purgedObjects = new LinkedHashMap<>();
@@ -423,15 +429,16 @@
         double load = 0;
         double weight = 0;
         for (Host h : edges) {
-            h.score = score(copy, h);
+            // Of equal weights, the same order without the logarithm.
+            h.score = set.weighted() ? score(copy, h) : uniform(copy, h.entry.host());
             load += h.gate.load;
             weight += weight(h);
         }
-        edges.sort(Comparator.comparingDouble(h -> -h.score));
         double bound = LOAD_BOUND * load / weight + LOAD_SLACK * meanWork / weight * edges.size();
         Host best = null;
         int left = width(q.asked);
-        for (Host h : edges) {
+        for (int i = 0; i < edges.size(); i++) {
+            Host h = nearest(i);
             if (tried(q, h) || !fit(h) || h.gate.load / weight(h) > bound || !affordable(h, q)) {
                 continue;
             }
@@ -442,7 +449,23 @@
         }
         // Where every cache is too busy or ails: the least busy one that the rules allow, tried ones last.
         return best != null ? best : edges.stream().filter(h -> affordable(h, q))
-                .min(Comparator.comparingDouble(h -> rank(q, h))).orElse(null);
+                .min(Comparator.<Host>comparingDouble(h -> rank(q, h)).thenComparingDouble(h -> -h.score))
+                .orElse(null);
+    }
+
+    // Of the caches from a place on, the first by score is put there: few are looked at, so only those are
+    // put in order.
+    private Host nearest(int place) {
+        if (place == SCANS) {
+            edges.subList(place, edges.size()).sort(Comparator.comparingDouble(h -> -h.score));
+        } else if (place < SCANS) {
+            int best = place;
+            for (int i = place + 1; i < edges.size(); i++) {
+                best = edges.get(i).score > edges.get(best).score ? i : best;
+            }
+            edges.set(place, edges.set(best, edges.get(place)));
+        }
+        return edges.get(place);
     }
 
     private double rank(Req q, Host h) {
@@ -498,8 +521,11 @@
 
     /** How near a host is to a copy; the nearest holds it. */
     public static double score(long copy, long host, double weight) {
-        double u = ((mix(copy ^ mix(host)) >>> 11) + 0.5) / (1L << 53);
-        return -weight / Math.log(u);
+        return -weight / Math.log(uniform(copy, host));
+    }
+
+    private static double uniform(long copy, long host) {
+        return ((mix(copy ^ mix(host)) >>> 11) + 0.5) / (1L << 53);
     }
 
     /** What a part of an object is hashed by. */
@@ -545,6 +571,7 @@
         if (h.lost >= SILENT_ATTEMPTS) {
             h.startedAt = now;
             h.budget = 0;
+            Arrays.fill(warmUntil, Long.MIN_VALUE);
         }
     }
 
@@ -586,12 +613,25 @@
     // Books what a warm host took to the rate of one of unit size. It is divided by the warm hosts that
     // shared it then, not by those left now: when most of a location leaves, the rest has not grown.
     private void book(Host h, double work) {
-        double size = peers(h).stream().filter(p -> warmth(p) >= 1).mapToDouble(this::weight).sum();
+        double size = warmWeight(h);
         if (size > 0 && h.state == HostState.READY && warmth(h) >= 1) {
             (isParent(h) ? fills : served).add(work / size, now);
         }
     }
 
+    // Weight of all warm peers; reckoned anew when the list or a start changes it, or time has made one more
+    // warm.
+    private double warmWeight(Host h) {
+        int kind = isParent(h) ? 1 : 0;
+        if (now >= warmUntil[kind]) {
+            warmWeight[kind] = peers(h).stream().filter(p -> warmth(p) >= 1).mapToDouble(this::weight).sum();
+            long span = kind == 1 ? set.guards().parentColdNs() : set.guards().coldNs();
+            warmUntil[kind] = peers(h).stream().filter(p -> warmth(p) < 1).mapToLong(p -> p.startedAt + span)
+                    .min().orElse(Long.MAX_VALUE);
+        }
+        return warmWeight[kind];
+    }
+
     private List<Host> peers(Host h) {
         return isParent(h) ? nearParents : edges;
     }
@@ -928,6 +968,7 @@
     }
 
     private void sortOut() {
+        Arrays.fill(warmUntil, Long.MIN_VALUE);
         edges.clear();
         nearParents.clear();
         farParents.clear();
--- a/src/test/java/brooklock/RulesTest.java
+++ b/src/test/java/brooklock/RulesTest.java
@@ -16,6 +16,7 @@
 import brooklock.RouterApi.Fail;
 import brooklock.RouterApi.Get;
 import brooklock.RouterApi.Group;
+import brooklock.RouterApi.HostEntry;
 import brooklock.RouterApi.HostList;
 import brooklock.RouterApi.HostState;
 import brooklock.RouterApi.ListKind;
@@ -28,6 +29,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -492,6 +494,32 @@
 
     // ---- Grown fleets
 
+    @Test
+    void theNearestThatWillDoIsTakenHoweverManyNearerOnesAil() {
+        List<HostEntry> all = new ArrayList<>();
+        for (long h = 101; h <= 130; h++) {
+            all.add(Rig.host(h, 1, Rig.CACHE, HostState.READY, 0));
+        }
+        all.add(Rig.host(801, 0, Rig.PARENT, HostState.READY, 0));
+        all.add(Rig.host(Rig.ORIGIN_HOST, 0, Rig.ORIGIN, HostState.READY, 0));
+        Rig rig = new Rig();
+        rig.on(new HostList(ListKind.CACHED, all));
+        List<Long> nearest = all.stream().map(HostEntry::host).filter(h -> h <= 130)
+                .sorted(Comparator.comparingDouble(h -> -Rules.score(Rules.copy(7, 0), h, 1))).toList();
+        List<Long> chosen = new ArrayList<>();
+        for (int i = 0; i < 200 && chosen.size() < 12; i++) {
+            Get g = rig.ask(PAGE, 7);
+            if (!chosen.contains(g.host())) {
+                chosen.add(g.host());
+            }
+            long ails = g.host();
+            while (g != null) {
+                g = Rig.get(rig.done(g, g.host() == ails ? Outcome.ERROR : Outcome.OK, Note.NONE, 1));
+            }
+        }
+        assertEquals(nearest.subList(0, 12), chosen);
+    }
+
     @Test
     void lostAnswersAreAskedAgainOfTheSameCacheOnceTheyAreSeenToGetLost() {
         Rig rig = new Rig().withFleet();
