--- a/benchmarks/WarmingReturn.java
+++ b/benchmarks/WarmingReturn.java
@@ -139,7 +139,10 @@
                 all[Line.PRESSED.ordinal()][bin] = Math.max(all[Line.PRESSED.ordinal()][bin], s.pressed);
             }
         }
-        StringBuilder text = new StringBuilder("verdict " + o.verdict() + " " + o.records().ledger().falls().size() + " "
+        // Rule 5 has no case on these days: that it was not seen is no breach.
+        String report = o.report();
+        String verdict = report.contains("BREACHES") ? "broken" : report.contains("COULD NOT") ? "not judged" : "kept";
+        StringBuilder text = new StringBuilder("verdict " + verdict.replace(' ', '-') + " " + o.records().ledger().falls().size() + " "
                 + o.service() + "\n");
         for (Line l : Line.values()) {
             row(text, l.name(), all[l.ordinal()]);
