Read again: one handler of mistakes, one bent module, no dead code, nothing asked twice

The change had written some things twice. Five commands caught the same two exceptions: one handler of the command line does now. Two test classes each had a decider around the module: one class serves both. Three takers of answers let head and body pass in the same words: that is the interface's default. The module asked in two places whether any peer is warm and how long a start takes, and sorted by two comparators alike. The warming's hand turned outcomes into words and back, and asked three times whether there is a report. The two readings of a message in tests are one. Gone: two methods nobody calls, an unused parameter, three unused imports; the settings' page in the code tells `bears`.

--- a/benchmarks/WarmingReturn.java
+++ b/benchmarks/WarmingReturn.java
@@ -9,7 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashSet;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -81,7 +81,7 @@
                             + TROUBLES.get(trouble);
                     Outcome o = Rehearsal.compare(trouble, text, Files.createTempDirectory("day"),
                             Rehearsal.Router.MODULE, line -> { });
-                    write(o, dir.resolve(trouble + "-" + way + "-" + seed + ".csv"), trouble);
+                    write(o, dir.resolve(trouble + "-" + way + "-" + seed + ".csv"));
                     System.out.printf("%s %s seed %d: %s, service %.3f%n%s%n", trouble, way, seed, o.verdict(), o.service(),
                             o.report().lines().filter(l -> l.startsWith("rule") || l.startsWith("    ") && l.contains("at "))
                                     .collect(Collectors.joining("\n")));
@@ -93,21 +93,24 @@
 
     // ---- One day
 
-    private static void write(Outcome o, Path file, String trouble) throws IOException {
+    private static void write(Outcome o, Path file) throws IOException {
         long begun = o.records().begunNs();
         // Those that were struck are those that were cold at some time (parents take no requests of clients).
         Set<String> struck = o.records().ledger().sightings().stream().filter(s -> s.straight() && s.cold)
-                .map(s -> s.host).collect(Collectors.toCollection(HashSet::new));
+                .map(s -> s.host).collect(Collectors.toSet());
         Set<String> theirs = o.records().ledger().sightings().stream().filter(s -> struck.contains(s.host) && s.straight()
                 && at(s.atNs, begun) < LEARN && s.cls.equals("scans")).map(s -> s.target).collect(Collectors.toSet());
         int bins = (int) (END / BIN);
-        double[][] all = new double[Line.values().length][bins];
+        Map<Line, double[]> all = new EnumMap<>(Line.class);
+        for (Line l : Line.values()) {
+            all.put(l, new double[bins]);
+        }
         Map<String, double[]> pressed = new TreeMap<>();
         for (Wished w : o.records().wishes()) {
             int bin = bin(w.dueNs(), begun);
             if (theirs.contains(w.target()) && bin >= 0 && bin < bins) {
-                all[Line.ASKED.ordinal()][bin]++;
-                all[Line.IN_TIME.ordinal()][bin] += w.inTime() ? 1 : 0;
+                all.get(Line.ASKED)[bin]++;
+                all.get(Line.IN_TIME)[bin] += w.inTime() ? 1 : 0;
             }
         }
         for (Sighting s : o.records().ledger().sightings()) {
@@ -117,36 +120,34 @@
             }
             boolean hub = !s.host.contains("-");
             if (s.request == null) {
-                all[Line.AHEAD.ordinal()][bin] += s.straight() && s.served != 0 ? 1 : 0;
+                all.get(Line.AHEAD)[bin] += s.straight() && s.served != 0 ? 1 : 0;
             } else if (s.straight() && theirs.contains(s.target) && !hub && s.served != 0) {
-                all[Line.CAME.ordinal()][bin]++;
-                all[Line.HELD.ordinal()][bin] += s.held ? 1 : 0;
-                all[Line.NEIGHBOUR.ordinal()][bin] += s.fromNeighbour() ? 1 : 0;
+                all.get(Line.CAME)[bin]++;
+                all.get(Line.HELD)[bin] += s.held ? 1 : 0;
+                all.get(Line.NEIGHBOUR)[bin] += s.fromNeighbour() ? 1 : 0;
             }
             if (s.host.equals("o1")) {
-                all[Line.ORIGIN.ordinal()][bin]++;
-                all[Line.ORIGIN_KB.ordinal()][bin] += s.bytes / 1e3;
+                all.get(Line.ORIGIN)[bin]++;
+                all.get(Line.ORIGIN_KB)[bin] += s.bytes / 1e3;
             }
             if (hub && s.by.contains("-")) {
-                all[Line.HUB_KB.ordinal()][bin] += s.bytes / 1e3;
+                all.get(Line.HUB_KB)[bin] += s.bytes / 1e3;
             }
             if (!hub && s.by.contains("-") && !office(s.by).equals(office(s.host))) {
-                all[Line.OFFICES_KB.ordinal()][bin] += s.bytes / 1e3;
+                all.get(Line.OFFICES_KB)[bin] += s.bytes / 1e3;
             }
             if (!hub && s.pressed > 0) {
                 double[] own = pressed.computeIfAbsent(s.host, k -> new double[bins]);
                 own[bin] = Math.max(own[bin], s.pressed);
-                all[Line.PRESSED.ordinal()][bin] = Math.max(all[Line.PRESSED.ordinal()][bin], s.pressed);
+                all.get(Line.PRESSED)[bin] = Math.max(all.get(Line.PRESSED)[bin], s.pressed);
             }
         }
         // Rule 5 has no case on these days: that it was not seen is no breach.
         String report = o.report();
-        String verdict = report.contains("BREACHES") ? "broken" : report.contains("COULD NOT") ? "not judged" : "kept";
-        StringBuilder text = new StringBuilder("verdict " + verdict.replace(' ', '-') + " " + o.records().ledger().falls().size() + " "
+        String verdict = report.contains("BREACHES") ? "broken" : report.contains("COULD NOT") ? "not-judged" : "kept";
+        StringBuilder text = new StringBuilder("verdict " + verdict + " " + o.records().ledger().falls().size() + " "
                 + o.service() + "\n");
-        for (Line l : Line.values()) {
-            row(text, l.name(), all[l.ordinal()]);
-        }
+        all.forEach((line, row) -> row(text, line.name(), row));
         pressed.forEach((host, row) -> row(text, host, row));
         Files.writeString(file, text);
     }
--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -87,6 +87,7 @@
     private static final double MEAN_WEIGHT = 0.05;
     // Caches found one by one before the rest is sorted: a sort costs as much as about so many passes.
     private static final int SCANS = 8;
+    private static final Comparator<Host> NEAREST = Comparator.comparingDouble(h -> -h.score);
 
     private final Settings set;
     private final TreeMap<Long, Host> hosts = new TreeMap<>();
@@ -449,7 +450,7 @@
         }
         // Where every cache is too busy or ails: the least busy one that the rules allow, tried ones last.
         return best != null ? best : edges.stream().filter(h -> affordable(h, q))
-                .min(Comparator.<Host>comparingDouble(h -> rank(q, h)).thenComparingDouble(h -> -h.score))
+                .min(Comparator.<Host>comparingDouble(h -> rank(q, h)).thenComparing(NEAREST))
                 .orElse(null);
     }
 
@@ -457,7 +458,7 @@
     // put in order.
     private Host nearest(int place) {
         if (place == SCANS) {
-            edges.subList(place, edges.size()).sort(Comparator.comparingDouble(h -> -h.score));
+            edges.subList(place, edges.size()).sort(NEAREST);
         } else if (place < SCANS) {
             int best = place;
             for (int i = place + 1; i < edges.size(); i++) {
@@ -579,13 +580,16 @@
 
     // Share of its capacity that a host surely has by now.
     private double warmth(Host h) {
-        boolean parent = isParent(h);
-        double from = parent ? set.guards().parentColdFrom() : set.guards().coldFrom();
-        long span = parent ? set.guards().parentColdNs() : set.guards().coldNs();
+        double from = isParent(h) ? set.guards().parentColdFrom() : set.guards().coldFrom();
+        long span = coldSpan(h);
         long age = now - h.startedAt;
         return h.startedAt == 0 || age >= span ? 1 : from + (1 - from) * Math.max(0, age) / span;
     }
 
+    private long coldSpan(Host h) {
+        return isParent(h) ? set.guards().parentColdNs() : set.guards().coldNs();
+    }
+
     // Guards against pushing over a cold host. Its budget grows with its warmth times what this router's
     // own traffic gives a warm peer, which all routers together cannot send above a peer's capacity, times
     // a part of the allowed multiple.
@@ -597,8 +601,7 @@
         double multiple = isParent(h) ? set.guards().parentFallMultiple() : set.guards().fallMultiple();
         // While none is warm the rate stands as it was measured last.
         Rate measured = isParent(h) ? fills : served;
-        boolean warm = peers(h).stream().anyMatch(p -> warmth(p) >= 1);
-        double unit = measured.perNs(warm ? now : measured.at) * weight(h);
+        double unit = measured.perNs(warmWeight(h) > 0 ? now : measured.at) * weight(h);
         double rate = unit * warmth * Math.min(COLD_MOST, multiple * COLD_MARGIN);
         double most = Math.max(rate * set.guards().overloadForNs() / 2, cost(q));
         h.budget = Math.min(most, h.budget + rate * (now - Math.max(h.budgetAt, h.startedAt)));
@@ -625,9 +628,8 @@
         int kind = isParent(h) ? 1 : 0;
         if (now >= warmUntil[kind]) {
             warmWeight[kind] = peers(h).stream().filter(p -> warmth(p) >= 1).mapToDouble(this::weight).sum();
-            long span = kind == 1 ? set.guards().parentColdNs() : set.guards().coldNs();
-            warmUntil[kind] = peers(h).stream().filter(p -> warmth(p) < 1).mapToLong(p -> p.startedAt + span)
-                    .min().orElse(Long.MAX_VALUE);
+            warmUntil[kind] = peers(h).stream().filter(p -> warmth(p) < 1)
+                    .mapToLong(p -> p.startedAt + coldSpan(p)).min().orElse(Long.MAX_VALUE);
         }
         return warmWeight[kind];
     }
--- a/src/main/java/brooklock/cli/Cli.java
+++ b/src/main/java/brooklock/cli/Cli.java
@@ -1,5 +1,7 @@
 package brooklock.cli;
 
+import brooklock.config.SettingsException;
+import java.io.IOException;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -23,6 +25,19 @@
             line.usage(System.err);
             return CommandLine.ExitCode.USAGE;
         }
+        line.setExecutionExceptionHandler(Cli::told);
         return line.execute(args);
     }
+
+    // Mistakes in settings and what the system refuses are told in plain words; all else is a fault of ours.
+    private static int told(Exception e, CommandLine command, CommandLine.ParseResult parsed) throws Exception {
+        if (e instanceof SettingsException s) {
+            s.problems.forEach(System.err::println);
+        } else if (e instanceof IOException) {
+            System.err.println("brooklock: " + e.getMessage());
+        } else {
+            throw e;
+        }
+        return WRONG;
+    }
 }
--- a/src/main/java/brooklock/cli/LoadCommand.java
+++ b/src/main/java/brooklock/cli/LoadCommand.java
@@ -37,7 +37,7 @@
     private Map<String, String> headers;
 
     @Override
-    public Integer call() throws InterruptedException {
+    public Integer call() throws IOException, InterruptedException {
         if (!"http".equals(url.getScheme()) || url.getHost() == null || connections < 1 || threads < 1 || seconds < 1
                 || objects < 1) {
             System.err.println("brooklock: the URL must be http://HOST:PORT/PATH, and the numbers 1 or more");
@@ -49,14 +49,9 @@
         if (headers != null) {
             headers.forEach(fields::add);
         }
-        try {
-            System.out.println(Load.run(new Load.Plan(new InetSocketAddress(url.getHost(), port), url.getRawAuthority(),
-                    rate, connections, threads, 1_000_000_000L, seconds * 1_000_000_000L,
-                    i -> path.replace("%7Bn%7D", Integer.toString(i % objects)), fields)));
-            return 0;
-        } catch (IOException e) {
-            System.err.println("brooklock: " + e.getMessage());
-            return Cli.WRONG;
-        }
+        System.out.println(Load.run(new Load.Plan(new InetSocketAddress(url.getHost(), port), url.getRawAuthority(),
+                rate, connections, threads, 1_000_000_000L, seconds * 1_000_000_000L,
+                i -> path.replace("%7Bn%7D", Integer.toString(i % objects)), fields)));
+        return 0;
     }
 }
--- a/src/main/java/brooklock/cli/Rehearse.java
+++ b/src/main/java/brooklock/cli/Rehearse.java
@@ -49,29 +49,21 @@
     private Path dir;
 
     @Override
-    public Integer call() throws InterruptedException {
-        try {
-            String name = file == null ? "built-in" : file.toString();
-            String text = (file == null ? Rehearsal.builtIn() : Files.readString(file))
-                    + (seed == null ? "" : "\nseed " + seed + "\n");
-            Path at = dir == null ? Files.createTempDirectory("brooklock-day") : Files.createDirectories(dir);
-            System.out.println("files of the dispatchers: " + at);
-            if (way.scale) {
-                return scale(name, text, at);
-            }
-            Rehearsal.Outcome o = way.random || way.informed
-                    ? Rehearsal.compare(name, text, at, way.random ? Router.RANDOM : Router.INFORMED, System.out::println)
-                    : Rehearsal.play(name, text, at, System.out::println);
-            System.out.println();
-            System.out.print(o.report());
-            return way.random ? 0 : status(o);
-        } catch (SettingsException e) {
-            e.problems.forEach(System.err::println);
-            return Cli.WRONG;
-        } catch (IOException e) {
-            System.err.println("brooklock: " + e.getMessage());
-            return Cli.WRONG;
+    public Integer call() throws SettingsException, IOException, InterruptedException {
+        String name = file == null ? "built-in" : file.toString();
+        String text = (file == null ? Rehearsal.builtIn() : Files.readString(file))
+                + (seed == null ? "" : "\nseed " + seed + "\n");
+        Path at = dir == null ? Files.createTempDirectory("brooklock-day") : Files.createDirectories(dir);
+        System.out.println("files of the dispatchers: " + at);
+        if (way.scale) {
+            return scale(name, text, at);
         }
+        Rehearsal.Outcome o = way.random || way.informed
+                ? Rehearsal.compare(name, text, at, way.random ? Router.RANDOM : Router.INFORMED, System.out::println)
+                : Rehearsal.play(name, text, at, System.out::println);
+        System.out.println();
+        System.out.print(o.report());
+        return way.random ? 0 : status(o);
     }
 
     private static int scale(String name, String text, Path at)
--- a/src/main/java/brooklock/cli/ReplayTrace.java
+++ b/src/main/java/brooklock/cli/ReplayTrace.java
@@ -15,18 +15,13 @@
     private Path file;
 
     @Override
-    public Integer call() {
-        try {
-            Replay.Result r = Replay.run(file);
-            System.out.println(r.events() + " events, " + r.actions() + " actions alike");
-            if (r.difference() != null) {
-                System.out.println(r.difference());
-                return Cli.WRONG;
-            }
-            return 0;
-        } catch (IOException e) {
-            System.err.println("brooklock: " + e.getMessage());
+    public Integer call() throws IOException {
+        Replay.Result r = Replay.run(file);
+        System.out.println(r.events() + " events, " + r.actions() + " actions alike");
+        if (r.difference() != null) {
+            System.out.println(r.difference());
             return Cli.WRONG;
         }
+        return 0;
     }
 }
--- a/src/main/java/brooklock/cli/Serve.java
+++ b/src/main/java/brooklock/cli/Serve.java
@@ -23,14 +23,8 @@
     private Path file;
 
     @Override
-    public Integer call() throws InterruptedException {
-        Settings settings;
-        try {
-            settings = SettingsReader.read(file);
-        } catch (SettingsException e) {
-            e.problems.forEach(System.err::println);
-            return Cli.WRONG;
-        }
+    public Integer call() throws SettingsException, InterruptedException {
+        Settings settings = SettingsReader.read(file);
         try {
             if (settings.files().answers() != null) {
                 Logs.answersTo(settings.files().answers());
--- a/src/main/java/brooklock/cli/StandIn.java
+++ b/src/main/java/brooklock/cli/StandIn.java
@@ -34,7 +34,7 @@
     private double flows;
 
     @Override
-    public Integer call() throws InterruptedException {
+    public Integer call() throws SettingsException, IOException, InterruptedException {
         try (Net net = Net.open("standin", 1)) {
             Settings s = SettingsReader.read(file);
             Ledger ledger = new Ledger();
@@ -53,12 +53,6 @@
             }
             new CountDownLatch(1).await();
             return 0;
-        } catch (SettingsException e) {
-            e.problems.forEach(System.err::println);
-            return Cli.WRONG;
-        } catch (IOException e) {
-            System.err.println("brooklock: " + e.getMessage());
-            return Cli.WRONG;
         }
     }
 }
--- a/src/main/java/brooklock/config/Settings.java
+++ b/src/main/java/brooklock/config/Settings.java
@@ -115,7 +115,8 @@
      *
      * @param allowed they may
      * @param anyZone across locations too
-     * @param share what warming may ask of a neighbour, of what this dispatcher sends it itself
+     * @param share the most that all dispatchers' warming may ask of a neighbour, of what it has to spare
+     * @param bears requests a second, of mean size, that a warm cache bears; 0 where that is not stated
      * @param saved where what was learned is written down; null for nowhere
      */
     public record Warming(boolean allowed, boolean anyZone, double share, double bears, Path saved) {
--- a/src/main/java/brooklock/credentials/Tls.java
+++ b/src/main/java/brooklock/credentials/Tls.java
@@ -1,7 +1,6 @@
 package brooklock.credentials;
 
 import brooklock.config.Settings.Pair;
-import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/brooklock/credentials/TokenBook.java
+++ b/src/main/java/brooklock/credentials/TokenBook.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.GeneralSecurityException;
-import java.security.MessageDigest;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
--- a/src/main/java/brooklock/edge/FetchAhead.java
+++ b/src/main/java/brooklock/edge/FetchAhead.java
@@ -9,7 +9,6 @@
 import brooklock.net.Failure;
 import brooklock.net.IoLoop;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 
 /** One fetch ahead on its way; ends once, by an answer, a failure or its time. */
 final class FetchAhead implements AnswerTaker {
@@ -59,11 +58,6 @@
         head = h;
     }
 
-    @Override
-    public boolean data(ByteBuffer piece) {
-        return true;
-    }
-
     @Override
     public void end(Fields trailers) {
         over(head.status());
--- a/src/main/java/brooklock/edge/Warmer.java
+++ b/src/main/java/brooklock/edge/Warmer.java
@@ -128,11 +128,10 @@
     }
 
     /** An attempt has ended. */
-    void ended(Done d, Routes.Match asked, boolean keeps, long neighbour, Report report, String first, Report ofNeighbour, boolean late) {
+    void ended(Done d, Routes.Match asked, boolean keeps, long neighbour, Report report, String first,
+            Report ofNeighbour, boolean late) {
         long now = edge.clock.now();
-        if (report != null) {
-            core.heard(d.host(), report);
-        }
+        heard(d.host(), report);
         if (d.outcome() == Outcome.OK) {
             core.answered(d.host(), d.note() == Note.HIT, late, now);
             if (keeps) {
@@ -142,18 +141,25 @@
                 || d.outcome() == Outcome.TIMEOUT || d.outcome() == Outcome.CONNECT_FAILED || d.outcome() == Outcome.RESET) {
             core.refused(d.host(), d.outcome() == Outcome.CONNECT_FAILED || d.outcome() == Outcome.RESET, now);
         }
-        if (neighbour != 0 && ofNeighbour != null) {
-            core.heard(neighbour, ofNeighbour);
+        if (neighbour == 0) {
+            return;
         }
-        if (neighbour != 0 && first != null) {
-            given(d.host(), neighbour, first, now);
-        } else if (neighbour != 0 && d.outcome() == Outcome.OK && d.note() == Note.HIT) {
+        heard(neighbour, ofNeighbour);
+        if (first != null) {
+            given(d.host(), neighbour, first.equals("gave") ? Given.GAVE : first.equals("lacked") ? Given.LACKED
+                    : Given.FAILED, now);
+        } else if (d.outcome() == Outcome.OK && d.note() == Note.HIT) {
             core.unasked(neighbour);
         }
     }
 
-    private void given(long host, long neighbour, String first, long now) {
-        Given how = first.equals("gave") ? Given.GAVE : first.equals("lacked") ? Given.LACKED : Given.FAILED;
+    private void heard(long host, Report r) {
+        if (r != null) {
+            core.heard(host, r);
+        }
+    }
+
+    private void given(long host, long neighbour, Given how, long now) {
         given += how == Given.GAVE ? 1 : 0;
         lacked += how == Given.LACKED ? 1 : 0;
         core.given(host, neighbour, how, now);
@@ -221,20 +227,17 @@
     private void fetched(Warming.Fetch<Ask> f, int status, Fields fields, long sentAt) {
         long now = edge.clock.now();
         core.fetched(f, status == 0 || status == 503, now);
-        if (status == 204) {
-            given(f.host(), f.source(), "gave", now);
-        } else if (status == 504) {
-            given(f.host(), f.source(), "lacked", now);
-        } else if (status == 502) {
-            given(f.host(), f.source(), "failed", now);
-        }
-        Report r = fields == null ? null : report(fields, "Brooklock-Load", sentAt, now);
-        if (r != null) {
-            core.heard(f.host(), r);
+        switch (status) {
+            case 204 -> given(f.host(), f.source(), Given.GAVE, now);
+            case 504 -> given(f.host(), f.source(), Given.LACKED, now);
+            case 502 -> given(f.host(), f.source(), Given.FAILED, now);
+            default -> {
+                // Nothing was asked of the source, or it is not known.
+            }
         }
-        Report ofSource = fields == null ? null : report(fields, "Brooklock-First-Load", sentAt, now);
-        if (ofSource != null) {
-            core.heard(f.source(), ofSource);
+        if (fields != null) {
+            heard(f.host(), report(fields, "Brooklock-Load", sentAt, now));
+            heard(f.source(), report(fields, "Brooklock-First-Load", sentAt, now));
         }
     }
 
--- a/src/main/java/brooklock/net/AnswerTaker.java
+++ b/src/main/java/brooklock/net/AnswerTaker.java
@@ -5,7 +5,10 @@
 import brooklock.http.ResponseHead;
 import java.nio.ByteBuffer;
 
-/** Takes what a host answers; called on the I/O thread of the call. After {@code end} or {@code failed} nothing comes. */
+/**
+ * Takes what a host answers; called on the I/O thread of the call. After {@code end} or {@code failed} nothing comes. One
+ * that asks only for the end lets head and body pass.
+ */
 public interface AnswerTaker {
     /** Asked right before the first byte is written; false calls it off, so that the host sees nothing. */
     default boolean mayGo() {
@@ -18,10 +21,13 @@
      * @param framing how the body ends
      * @param whole the whole body has come along with the head
      */
-    void head(ResponseHead head, Framing framing, boolean whole);
+    default void head(ResponseHead head, Framing framing, boolean whole) {
+    }
 
     /** A piece of the body. False stops reading until {@link ClientCall#resume}; the piece stays valid until then. */
-    boolean data(ByteBuffer piece);
+    default boolean data(ByteBuffer piece) {
+        return true;
+    }
 
     /** The body has ended as its framing says. */
     void end(Fields trailers);
--- a/src/main/java/brooklock/net/ClientCall.java
+++ b/src/main/java/brooklock/net/ClientCall.java
@@ -36,14 +36,6 @@
         connection = c;
     }
 
-    boolean cancelled() {
-        return cancelled;
-    }
-
-    boolean over() {
-        return over;
-    }
-
     void done() {
         over = true;
         connection = null;
--- a/src/main/java/brooklock/rehearsal/Lane.java
+++ b/src/main/java/brooklock/rehearsal/Lane.java
@@ -3,14 +3,11 @@
 import brooklock.config.Settings.ClassLine;
 import brooklock.config.Settings.Effect;
 import brooklock.http.Fields;
-import brooklock.http.Framing;
 import brooklock.http.RequestHead;
-import brooklock.http.ResponseHead;
 import brooklock.net.AnswerTaker;
 import brooklock.net.Client;
 import brooklock.net.Failure;
 import brooklock.net.IoLoop;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -93,8 +90,9 @@
         });
     }
 
+    // No route is asked for: whatever is answered will do.
     private void warm(Runner d, int left, Runnable done) {
-        Fields f = new Fields().add("Connection", left > 1 ? "close" : "keep-alive");
+        Fields f = left > 1 ? new Fields().add("Connection", "close") : new Fields();
         client.call(d.clients, new RequestHead("GET", "/", "day.example", 1, f), new byte[0], new AnswerTaker() {
             private void over() {
                 if (left > 1) {
@@ -104,16 +102,6 @@
                 }
             }
 
-            @Override
-            public void head(ResponseHead head, Framing framing, boolean whole) {
-                // No route is asked for: whatever it says will do.
-            }
-
-            @Override
-            public boolean data(ByteBuffer piece) {
-                return true;
-            }
-
             @Override
             public void end(Fields trailers) {
                 over();
--- a/src/main/java/brooklock/warming/Law.java
+++ b/src/main/java/brooklock/warming/Law.java
@@ -13,13 +13,12 @@
  * @param fallMultiple multiple of what it can do that pushes it over
  * @param overloadNs the span over which that is reckoned
  */
-public record Law(boolean anyZone, double neighbourShare, double bearsPerNs, int dispatchers, double coldFrom, long coldNs, double fallMultiple,
-        long overloadNs) {
+public record Law(boolean anyZone, double neighbourShare, double bearsPerNs, int dispatchers, double coldFrom,
+        long coldNs, double fallMultiple, long overloadNs) {
     /** Checks the figures. */
     public Law {
         if (!(neighbourShare > 0 && neighbourShare <= 1) || !(bearsPerNs >= 0) || dispatchers <= 0
-                || !(coldFrom > 0 && coldFrom <= 1) || coldNs <= 0
-                || fallMultiple < 0 || overloadNs <= 0) {
+                || !(coldFrom > 0 && coldFrom <= 1) || coldNs <= 0 || fallMultiple < 0 || overloadNs <= 0) {
             throw new IllegalArgumentException("figures of warming that cannot be");
         }
     }
--- a/src/test/java/brooklock/edge/HardCasesTest.java
+++ b/src/test/java/brooklock/edge/HardCasesTest.java
@@ -6,7 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import brooklock.RouterApi.Action;
 import brooklock.RouterApi.Event;
 import brooklock.RouterApi.Request;
 import brooklock.standin.Sighting;
@@ -363,16 +362,9 @@
     @Test
     void aFullDecisionQueueAnswersAtOnceWithARetryHint() throws Exception {
         CountDownLatch stuck = new CountDownLatch(1);
-        try (Bed bed = new Bed(dir, 1, 1, "limits open 8").start(s -> new Decider() {
-            private final Decider rules = Decider.rules(s);
-
-            @Override
-            public void start(long now, List<Action> out) {
-                rules.start(now, out);
-            }
-
+        try (Bed bed = new Bed(dir, 1, 1, "limits open 8").start(s -> new Bent(s) {
             @Override
-            public void on(long now, Event event, List<Action> out) {
+            protected Event event(Event event) {
                 if (event instanceof Request) {
                     try {
                         stuck.await();
@@ -380,7 +372,7 @@
                         Thread.currentThread().interrupt();
                     }
                 }
-                rules.on(now, event, out);
+                return event;
             }
         })) {
             List<CompletableFuture<Bed.Answer>> all = new ArrayList<>();
@@ -426,20 +418,13 @@
 
     @Test
     void aFaultInADecisionEndsItsRequestAndNoOther() throws Exception {
-        try (Bed bed = new Bed(dir, 1, 1, "").start(s -> new Decider() {
-            private final Decider rules = Decider.rules(s);
-
-            @Override
-            public void start(long now, List<Action> out) {
-                rules.start(now, out);
-            }
-
+        try (Bed bed = new Bed(dir, 1, 1, "").start(s -> new Bent(s) {
             @Override
-            public void on(long now, Event event, List<Action> out) {
+            protected Event event(Event event) {
                 if (event instanceof Request r && r.part() == 13) {
                     throw new IllegalStateException("provoked");
                 }
-                rules.on(now, event, out);
+                return event;
             }
         })) {
             assertEquals(502, bed.ask(get("/scans/g/o/13", "")).status());
--- a/src/test/java/brooklock/http/Messages.java
+++ b/src/test/java/brooklock/http/Messages.java
@@ -17,47 +17,51 @@
         return ByteBuffer.wrap(s.getBytes(StandardCharsets.ISO_8859_1));
     }
 
-    /** Reads one request that comes cut at the given places (taken modulo its length). */
-    static Read request(String text, List<Integer> cuts) throws HttpProblem {
-        RequestParser parser = new RequestParser(HttpLimits.STANDARD);
-        RequestHead head = null;
-        BodyDecoder body = null;
-        StringBuilder out = new StringBuilder();
-        int left = 0;
-        for (ByteBuffer piece : pieces(text, cuts)) {
-            if (head == null) {
-                head = parser.next(piece);
-                body = head == null ? null : BodyDecoder.ofRequest(Framing.of(head), HttpLimits.STANDARD);
-            }
-            if (body != null) {
-                drain(body, piece, out);
-                left += piece.remaining();
+    /** A step that may find the message wrong. */
+    private interface Step<A, B> {
+        B of(A a) throws HttpProblem;
+    }
+
+    /** What one message is read into, piece by piece. */
+    private static final class Reading<H> {
+        H head;
+        BodyDecoder body;
+        final StringBuilder out = new StringBuilder();
+        int left;
+
+        Reading(String text, List<Integer> cuts, Step<ByteBuffer, H> parser, Step<H, BodyDecoder> decoder)
+                throws HttpProblem {
+            for (ByteBuffer piece : pieces(text, cuts)) {
+                if (head == null) {
+                    head = parser.of(piece);
+                    body = head == null ? null : decoder.of(head);
+                }
+                if (body != null) {
+                    drain(body, piece, out);
+                    left += piece.remaining();
+                }
             }
         }
-        return new Read(head, body == null || !body.done() ? null : out.toString(),
-                body == null ? null : body.trailers(), left);
+
+        Read read(boolean whole) {
+            return new Read(head, whole ? out.toString() : null, body == null ? null : body.trailers(), left);
+        }
+    }
+
+    /** Reads one request that comes cut at the given places (taken modulo its length). */
+    static Read request(String text, List<Integer> cuts) throws HttpProblem {
+        Reading<RequestHead> r = new Reading<>(text, cuts, new RequestParser(HttpLimits.STANDARD)::next,
+                head -> BodyDecoder.ofRequest(Framing.of(head), HttpLimits.STANDARD));
+        return r.read(r.body != null && r.body.done());
     }
 
     static Read response(String text, String method, List<Integer> cuts) throws HttpProblem {
-        ResponseParser parser = new ResponseParser(HttpLimits.STANDARD);
-        ResponseHead head = null;
-        BodyDecoder body = null;
-        StringBuilder out = new StringBuilder();
-        int left = 0;
-        for (ByteBuffer piece : pieces(text, cuts)) {
-            if (head == null) {
-                head = parser.next(piece);
-                body = head == null ? null : BodyDecoder.ofResponse(Framing.of(head, method), HttpLimits.STANDARD);
-            }
-            if (body != null) {
-                drain(body, piece, out);
-                left += piece.remaining();
-            }
-        }
-        if (body != null) {
-            body.ended();
+        Reading<ResponseHead> r = new Reading<>(text, cuts, new ResponseParser(HttpLimits.STANDARD)::next,
+                head -> BodyDecoder.ofResponse(Framing.of(head, method), HttpLimits.STANDARD));
+        if (r.body != null) {
+            r.body.ended();
         }
-        return new Read(head, out.toString(), body == null ? null : body.trailers(), left);
+        return r.read(true);
     }
 
     private static void drain(BodyDecoder body, ByteBuffer in, StringBuilder out) throws HttpProblem {
--- a/src/test/java/brooklock/net/HostPoolTest.java
+++ b/src/test/java/brooklock/net/HostPoolTest.java
@@ -8,9 +8,7 @@
 import brooklock.credentials.LocalAuthority;
 import brooklock.credentials.Tls;
 import brooklock.http.Fields;
-import brooklock.http.Framing;
 import brooklock.http.RequestHead;
-import brooklock.http.ResponseHead;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -18,7 +16,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -115,15 +112,6 @@
             return true;
         }
 
-        @Override
-        public void head(ResponseHead head, Framing framing, boolean whole) {
-        }
-
-        @Override
-        public boolean data(ByteBuffer piece) {
-            return true;
-        }
-
         @Override
         public void end(Fields trailers) {
             assertTrue(end.complete("whole"));
--- a/src/test/java/brooklock/rehearsal/RehearsalTest.java
+++ b/src/test/java/brooklock/rehearsal/RehearsalTest.java
@@ -17,11 +17,10 @@
 import brooklock.RouterApi.Purged;
 import brooklock.RouterApi.Refuse;
 import brooklock.config.SettingsException;
+import brooklock.edge.Bent;
 import brooklock.edge.Decider;
 import brooklock.http.Fields;
-import brooklock.http.Framing;
 import brooklock.http.RequestHead;
-import brooklock.http.ResponseHead;
 import brooklock.net.AnswerTaker;
 import brooklock.net.Client;
 import brooklock.net.ClientLimits;
@@ -33,7 +32,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -170,45 +168,11 @@
 
     // ---- Dispatchers with one rule broken
 
-    /** The module, with its events and actions bent on their way. */
-    private abstract static class Bent implements Decider {
-        final Decider rules;
-
-        Bent(RouterApi.Settings s) {
-            rules = Decider.rules(s);
-        }
-
-        @Override
-        public void start(long now, List<Action> out) {
-            rules.start(now, out);
-        }
-
-        @Override
-        public void on(long now, Event e, List<Action> out) {
-            List<Action> mine = new ArrayList<>();
-            Event bent = event(e);
-            if (bent != null) {
-                rules.on(now, bent, mine);
-            }
-            for (Action a : mine) {
-                action(a, out);
-            }
-        }
-
-        Event event(Event e) {
-            return e;
-        }
-
-        void action(Action a, List<Action> out) {
-            out.add(a);
-        }
-    }
-
     @Test
     void requestsThatAreNeverAnsweredAreCaught() throws Exception {
         Rehearsal.Outcome o = play("from 500ms to 4s lose 60% at caches\n", inside(s -> new Bent(s) {
             @Override
-            void action(Action a, List<Action> out) {
+            protected void action(Action a, List<Action> out) {
                 if (!(a instanceof Refuse) && !(a instanceof Fail)) {
                     out.add(a);
                 }
@@ -221,7 +185,7 @@
     void unsafeRequestsThatAreSentAgainAreCaught() throws Exception {
         Rehearsal.Outcome o = play("from 500ms to 5s lose 50% at origin by reset\n", inside(s -> new Bent(s) {
             @Override
-            Event event(Event e) {
+            protected Event event(Event e) {
                 // The reset is reported as if it proved that nothing ran.
                 return e instanceof Done d && d.outcome() == Outcome.RESET ? new Done(d.id(), d.attempt(), d.host(),
                         Outcome.FULL, d.note(), d.tookNs(), d.sourceWaitNs(), d.closed()) : e;
@@ -267,16 +231,6 @@
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         client.call(to, new RequestHead("POST", target, "a", 1, new Fields().add("Content-Length",
                 Integer.toString(bytes.length))), bytes, new AnswerTaker() {
-                    @Override
-                    public void head(ResponseHead head, Framing framing, boolean whole) {
-                        // Whatever it says.
-                    }
-
-                    @Override
-                    public boolean data(ByteBuffer piece) {
-                        return true;
-                    }
-
                     @Override
                     public void end(Fields trailers) {
                         // Done.
@@ -373,7 +327,7 @@
             private long cold;
 
             @Override
-            Event event(Event e) {
+            protected Event event(Event e) {
                 if (e instanceof HostList l) {
                     l.entries().stream().filter(h -> h.startedAtNs() > 0).forEach(h -> cold = h.host());
                     return new HostList(l.kind(), l.entries().stream().map(h -> new HostEntry(h.host(), h.zone(),
@@ -383,7 +337,7 @@
             }
 
             @Override
-            void action(Action a, List<Action> out) {
+            protected void action(Action a, List<Action> out) {
                 out.add(cold != 0 && a instanceof Get g && g.source() != g.host() ? new Get(g.id(), cold, g.limitNs(),
                         g.source(), g.keep(), g.oldestNs(), g.join(), g.heldOnly()) : a);
             }
@@ -395,7 +349,7 @@
     void purgesThatAreNotHeededAreCaught() throws Exception {
         Rehearsal.Outcome o = play("at 1s purge 100% of groups\n", inside(s -> new Bent(s) {
             @Override
-            Event event(Event e) {
+            protected Event event(Event e) {
                 return e instanceof Purged ? null : e;
             }
         }));
