The program serves as a dispatcher on the operators' platform

Until now the program spoke HTTP and the simulator's wire only.

Change: a package brooklock.platform with pure codecs (MessagePack-RPC, binary frames, command channel lines), one engine on one I/O thread between the module and the sockets, connections to hosts and clients, the command channel, SIGHUP and SIGTERM. net gains raw streams beside HTTP on the same loops and buffers.

--- a/src/main/java/brooklock/Main.java
+++ b/src/main/java/brooklock/Main.java
@@ -9,13 +9,16 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 
-/** The program's beginning. {@code wirehost} starts without loading any of the rest. */
+/** The program's beginning. {@code wirehost} and {@code node} start without loading any of the rest. */
 public final class Main {
     private Main() {
     }
 
     /** Runs the command named by the first argument. */
     public static void main(String[] args) {
+        if (args.length == 1 && args[0].equals("node")) {
+            Platform.run();
+        }
         if (args.length != 1 || !args[0].equals("wirehost")) {
             Rest.run(args);
         }
@@ -29,7 +32,17 @@
         }
     }
 
-    // A class of its own, so that its references are resolved only where it is used.
+    private static final class Platform {
+        static void run() {
+            try {
+                System.exit(brooklock.platform.NodeMain.run(System.getenv("NODE_CONFIG")));
+            } catch (InterruptedException e) {
+                System.exit(1);
+            }
+        }
+    }
+
+    // Classes of their own, so that their references are resolved only where they are used.
     private static final class Rest {
         static void run(String[] args) {
             System.exit(brooklock.cli.Cli.run(args));
--- a/src/main/java/brooklock/bench/WireCodec.java
+++ b/src/main/java/brooklock/bench/WireCodec.java
@@ -349,7 +349,8 @@
         }
     }
 
-    private static Settings settings(JsonObject top) {
+    /** The settings as the first message has them; what is absent reads as 0. */
+    public static Settings settings(JsonObject top) {
         JsonObject extra = object(top, "extra");
         JsonObject limits = object(top, "limits");
         JsonObject guards = object(top, "invariants");
--- /dev/null
+++ b/src/main/java/brooklock/net/Stream.java
@@ -0,0 +1,164 @@
+package brooklock.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.StreamConnection;
+
+/**
+ * A connection that carries a protocol other than HTTP: bytes in, bytes out, one moving deadline, one end. Belongs to
+ * one I/O thread, on which everything here is called. Reads one buffer a readiness, so that a peer at full speed leaves
+ * the others their turns.
+ */
+public final class Stream extends Wire {
+    /** Whoever speaks the protocol. */
+    public interface Taker {
+        /**
+         * Takes bytes. What is left in the buffer is offered again with what follows; leaving a whole buffer of
+         * {@value BufferPool#SIZE} bytes ends the connection.
+         */
+        void bytes(ByteBuffer in);
+
+        /** All that waited to be written has been taken by the system. */
+        default void allWritten() {
+        }
+
+        /** The deadline has passed. */
+        default void late() {
+        }
+
+        /** The connection has ended by itself; not called after {@link Stream#close}. */
+        void ended(String why);
+    }
+
+    private Taker taker;
+    private boolean reading;
+
+    Stream(IoLoop loop, StreamConnection connection) {
+        super(loop, connection);
+        source.setReadListener(c -> readable());
+        connection.getSinkChannel().setWriteListener(c -> writable());
+    }
+
+    /** Begins to read for a taker. */
+    public void start(Taker to) {
+        taker = to;
+        read(true);
+    }
+
+    /** Goes on or stops reading; what the peer sends meanwhile waits in the system's buffers. */
+    public void read(boolean on) {
+        if (closed || reading == on) {
+            return;
+        }
+        reading = on;
+        if (on) {
+            source.resumeReads();
+        } else {
+            source.suspendReads();
+        }
+    }
+
+    /** Writes; what the system does not take at once waits. */
+    public void write(ByteBuffer... parts) {
+        if (closed) {
+            return;
+        }
+        boolean first = output.empty();
+        for (ByteBuffer b : parts) {
+            output.add(b);
+        }
+        if (first) {
+            writable();
+        }
+    }
+
+    /** Bytes that wait to be written. */
+    public long pending() {
+        return output.pending();
+    }
+
+    /** Bytes the system has taken since the connection began. */
+    public long written() {
+        return output.written();
+    }
+
+    /** Calls {@link Taker#late} after so many nanoseconds, in place of any time set before. */
+    public void deadline(long ns) {
+        if (!closed) {
+            watchdog.in(ns);
+        }
+    }
+
+    /** Takes the deadline away. */
+    public void noDeadline() {
+        watchdog.off();
+    }
+
+    /** Whether it has ended. */
+    public boolean closed() {
+        return closed;
+    }
+
+    /** Ends it, whatever it is at. */
+    public void close() {
+        end();
+    }
+
+    @Override
+    void late() {
+        if (!closed) {
+            taker.late();
+        }
+    }
+
+    private void readable() {
+        if (closed || !reading) {
+            return;
+        }
+        try {
+            int n = fill();
+            if (n < 0) {
+                broken("closed by the peer");
+                return;
+            }
+            in.flip();
+            if (n > 0) {
+                taker.bytes(in);
+            }
+            if (!closed) {
+                keepRest();
+                if (in != null && !in.hasRemaining()) {
+                    broken("a whole buffer was left");
+                }
+            }
+        } catch (IOException e) {
+            broken(String.valueOf(e.getMessage()));
+        }
+    }
+
+    private void writable() {
+        if (closed) {
+            return;
+        }
+        try {
+            if (!output.flush()) {
+                connection.getSinkChannel().resumeWrites();
+                return;
+            }
+            if (connection.getSinkChannel().isWriteResumed()) {
+                connection.getSinkChannel().suspendWrites();
+                taker.allWritten();
+            }
+        } catch (IOException e) {
+            // Told later: whoever wrote is in the middle of something.
+            String why = String.valueOf(e.getMessage());
+            loop.execute(() -> broken(why));
+        }
+    }
+
+    private void broken(String why) {
+        if (end()) {
+            taker.ended(why);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/brooklock/platform/ClientLink.java
@@ -0,0 +1,200 @@
+package brooklock.platform;
+
+import brooklock.net.Stream;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One client's connection: calls in, one answer to each, in any order. Belongs to the I/O thread. */
+final class ClientLink implements Stream.Taker {
+    /** Calls open on one connection; the protocol's bound, further ones are refused. */
+    static final int MOST_OPEN = 32;
+    // Messages out of order before their connection is closed: a client that sends nothing else costs little more.
+    private static final int MOST_WRONG = 4;
+    // Time for the rest of a message from its first byte, and for a new connection's first, ns.
+    private static final long MESSAGE_NS = 2_000_000_000L;
+    // Time in which a client takes not one byte of what waits for it, ns.
+    private static final long STALL_NS = 5_000_000_000L;
+    // Bytes that may wait for a client before no more calls are read from it.
+    private static final long MOST_PENDING = 512 * 1024;
+
+    private final Front front;
+    private final Stream stream;
+    private final RpcDecoder decoder = new RpcDecoder();
+    private final Map<Long, Job> open = new HashMap<>();
+    private long idleSince = System.nanoTime();
+    private long writtenBefore;
+    private int wrong;
+    private boolean spoke;
+    private boolean stalls;
+
+    ClientLink(Front front, Stream stream) {
+        this.front = front;
+        this.stream = stream;
+    }
+
+    void start() {
+        stream.deadline(MESSAGE_NS);
+        stream.start(this);
+    }
+
+    boolean idle() {
+        return open.isEmpty() && stream.pending() == 0;
+    }
+
+    boolean spoke() {
+        return spoke;
+    }
+
+    /** Whether nothing waits to be written. */
+    boolean written() {
+        return stream.pending() == 0;
+    }
+
+    long idleSince() {
+        return idleSince;
+    }
+
+    @Override
+    public void bytes(ByteBuffer in) {
+        try {
+            for (RpcMessage m = decoder.next(in); m != null; m = decoder.next(in)) {
+                spoke = true;
+                idleSince = System.nanoTime();
+                take(m);
+                if (stream.closed()) {
+                    return;
+                }
+            }
+            deadline();
+        } catch (Malformed e) {
+            front.log(e.getMessage());
+            close();
+        }
+    }
+
+    private void deadline() {
+        if (stalls) {
+            return;
+        }
+        if (decoder.within()) {
+            stream.deadline(MESSAGE_NS);
+        } else if (spoke) {
+            stream.noDeadline();
+        }
+    }
+
+    private void take(RpcMessage m) throws Malformed {
+        if (m instanceof RpcMessage.Forget f) {
+            Job job = open.remove(f.number());
+            if (job != null) {
+                front.engine().lapsed(job);
+            }
+            return;
+        }
+        RpcMessage.Call call = (RpcMessage.Call) m;
+        if (open.containsKey(call.number())) {
+            throw new Malformed("message " + call.number() + " twice");
+        }
+        if (call.method().equals("isWell")) {
+            write(RpcWriter.well(call.number(), front.well()));
+        } else if (open.size() >= MOST_OPEN) {
+            wrong(call, "Overloaded", "more than " + MOST_OPEN + " calls open");
+        } else {
+            ask(call);
+        }
+    }
+
+    private void ask(RpcMessage.Call call) throws Malformed {
+        ClientRequest ask;
+        try {
+            ask = ClientRequest.of(call, front.classes());
+        } catch (Malformed e) {
+            wrong(call, "Invalid", e.getMessage());
+            return;
+        }
+        if (front.engine().isOpen(ask.id())) {
+            wrong(call, "Invalid", "an id that is open");
+        } else if (front.closing() || !front.engine().take(ask, this, call.number(), j -> open.put(call.number(), j))) {
+            write(RpcWriter.error(call.number(), "Overloaded", Map.of()));
+        }
+    }
+
+    private void wrong(RpcMessage.Call call, String name, String why) throws Malformed {
+        front.log(why);
+        if (++wrong > MOST_WRONG) {
+            throw new Malformed("too much out of order");
+        }
+        write(RpcWriter.error(call.number(), name, Map.of()));
+    }
+
+    /** The final answer: an object, or that the client's copy is the one. */
+    void served(Job job, Frame answer) {
+        if (open.remove(job.message, job)) {
+            boolean same = answer.code() == Frame.SAME;
+            write(RpcWriter.served(job.message, same ? new byte[0] : answer.body(),
+                    same ? Map.of("notmod", "1") : Map.of()));
+        }
+    }
+
+    /** The final answer: declined, and trying again is harmless. */
+    void refused(Job job, long retryInNs) {
+        if (open.remove(job.message, job)) {
+            write(RpcWriter.error(job.message, "Overloaded",
+                    retryInNs > 0 ? Map.of("w", Long.toString(Math.max(1, retryInNs / 1_000_000))) : Map.of()));
+        }
+    }
+
+    /** The final answer: failed. */
+    void failed(Job job) {
+        if (open.remove(job.message, job)) {
+            write(RpcWriter.error(job.message, "Internal", Map.of()));
+        }
+    }
+
+    private void write(ByteBuffer... parts) {
+        idleSince = System.nanoTime();
+        stream.write(parts);
+        if (stream.pending() > 0 && !stalls) {
+            stalls = true;
+            writtenBefore = stream.written();
+            stream.deadline(STALL_NS);
+        }
+        if (stream.pending() > MOST_PENDING) {
+            stream.read(false);
+        }
+    }
+
+    @Override
+    public void allWritten() {
+        stalls = false;
+        stream.read(true);
+        deadline();
+    }
+
+    @Override
+    public void late() {
+        if (stalls && stream.written() > writtenBefore) {
+            writtenBefore = stream.written();
+            stream.deadline(STALL_NS);
+        } else {
+            front.log("a client that neither sends nor takes");
+            close();
+        }
+    }
+
+    @Override
+    public void ended(String why) {
+        close();
+    }
+
+    void close() {
+        stream.close();
+        front.gone(this);
+        for (Job job : List.copyOf(open.values())) {
+            front.engine().lapsed(job);
+        }
+        open.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/brooklock/platform/Hosts.java
@@ -0,0 +1,135 @@
+package brooklock.platform;
+
+import brooklock.RouterApi.Get;
+import brooklock.RouterApi.HostList;
+import brooklock.RouterApi.Outcome;
+import brooklock.RouterApi.Note;
+import brooklock.net.IoLoop;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The cache hosts, parents and the origin: attempts as frames on their connections. Belongs to the I/O thread. */
+final class Hosts implements Engine.Carrier {
+    // Connections to one host however many descriptors there are, and however few.
+    private static final int MOST_EACH = 48;
+    private static final int LEAST_EACH = 2;
+    // How long before its host's own time an idle connection is closed here, so that none is used as it closes.
+    private static final long IDLE_MARGIN_NS = 5_000_000_000L;
+    private static final long SWEEP_NS = 1_000_000_000L;
+
+    private final IoLoop loop;
+    private final HostTable table;
+    private final long connectNs;
+    private final long idleNs;
+    private final int streams;
+    private final int descriptors;
+    private final Map<Long, HostLinks> links = new HashMap<>();
+    private Engine engine;
+
+    /**
+     * No connections yet.
+     *
+     * @param descriptors connections to all hosts together
+     */
+    Hosts(IoLoop loop, HostTable table, NodeConfig config, int descriptors) {
+        this.loop = loop;
+        this.table = table;
+        connectNs = config.settings().limits().connectTimeoutNs();
+        idleNs = Math.max(config.connIdleNs() / 2, config.connIdleNs() - IDLE_MARGIN_NS);
+        streams = Math.max(1, config.streams());
+        this.descriptors = descriptors;
+    }
+
+    void start(Engine to) {
+        engine = to;
+        sweep();
+    }
+
+    private void sweep() {
+        long before = System.nanoTime() - idleNs;
+        links.values().forEach(l -> l.closeIdle(before));
+        List<HostTable.Known> over = new ArrayList<>();
+        for (HostTable.Known k : table.all()) {
+            HostLinks l = links.get(k.number);
+            if (k.gone() && (l == null || l.unused())) {
+                over.add(k);
+            }
+        }
+        over.forEach(k -> {
+            links.remove(k.number);
+            table.forget(k);
+        });
+        loop.after(SWEEP_NS, this::sweep);
+    }
+
+    /** Takes news of the list. */
+    void take(Command.Nodes news) {
+        HostList list = table.take(news);
+        for (HostTable.Known k : table.all()) {
+            HostLinks l = k.gone() ? links.get(k.number) : null;
+            if (l != null) {
+                l.leave();
+            }
+        }
+        engine.tell(list);
+    }
+
+    /** Connections to all hosts, those on their way as well. */
+    int connections() {
+        return links.values().stream().mapToInt(HostLinks::connections).sum();
+    }
+
+    @Override
+    public void send(Try t) {
+        HostTable.Known host = table.get(t.get.host());
+        HostTable.Known source = table.get(t.get.source());
+        if (host == null || source == null || host.gone()) {
+            // Left since the module chose it; what it is told of that is on its way.
+            engine.ended(t, Outcome.CONNECT_FAILED, Note.NONE, 0, null);
+            return;
+        }
+        links.computeIfAbsent(host.number, n -> new HostLinks(host.name, loop, NodeConfig.address(host.address), connectNs,
+                streams, this::mostEach, engine::ended)).send(t, frame(t, host, source));
+    }
+
+    private int mostEach() {
+        return Math.max(LEAST_EACH, Math.min(MOST_EACH, descriptors / Math.max(1, table.present())));
+    }
+
+    private static ByteBuffer frame(Try t, HostTable.Known host, HostTable.Known source) {
+        ClientRequest ask = t.job.ask;
+        Get get = t.get;
+        StringBuilder f = new StringBuilder(160).append("cls=").append(ask.name()).append(",item=").append(ask.object())
+                .append(",chunk=").append(ask.part()).append(",limit=").append(Math.max(1, get.limitNs() / 1_000_000));
+        if (ask.key() != null) {
+            f.append(",nonce=").append(ask.key());
+        }
+        if (source != host) {
+            f.append(",up=").append(source.name);
+        }
+        if (get.keep() > 0) {
+            f.append(",store=").append(get.keep());
+        }
+        if (get.oldestNs() > 0) {
+            f.append(",cap=").append(Math.max(1, get.oldestNs() / 1_000_000));
+        }
+        if (get.join() || get.heldOnly()) {
+            f.append(",do=").append(get.join() ? get.heldOnly() ? "share+peek" : "share" : "peek");
+        }
+        if (ask.tag() != null) {
+            f.append(",inm=").append(ask.tag());
+        }
+        return FrameWriter.frame(Frame.ASK, ask.id(), f.toString(), ask.body());
+    }
+
+    @Override
+    public void stop(Try t) {
+        HostLinks l = links.get(t.get.host());
+        if (l != null) {
+            l.leaveLine(t);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/brooklock/platform/Job.java
@@ -0,0 +1,24 @@
+package brooklock.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A request from its coming to the end of its last attempt. */
+final class Job {
+    final long number;
+    final ClientRequest ask;
+    final long deadlineNs;
+    final ClientLink client;
+    final long message;
+    final List<Try> tries = new ArrayList<>(2);
+    boolean closed;
+    int open;
+
+    Job(long number, ClientRequest ask, long deadlineNs, ClientLink client, long message) {
+        this.number = number;
+        this.ask = ask;
+        this.deadlineNs = deadlineNs;
+        this.client = client;
+        this.message = message;
+    }
+}
--- /dev/null
+++ b/src/main/java/brooklock/platform/Node.java
@@ -0,0 +1,135 @@
+package brooklock.platform;
+
+import brooklock.RouterApi;
+import brooklock.edge.Clock;
+import brooklock.edge.Decider;
+import brooklock.net.IoLoop;
+import brooklock.net.Net;
+import brooklock.net.StreamListener;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A dispatcher on the operators' platform: its parts, its start, its new configurations and its end. */
+public final class Node implements Closeable {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    // Descriptors that the process itself needs: its jars, its selectors, the listener, the command channel.
+    private static final int OWN_DESCRIPTORS = 56;
+    // Part of the rest that clients may hold; the protocol lets them have a third of all.
+    private static final double CLIENTS = 0.5;
+    // After a notice to end, requests are taken for so long, ns: clients are told of it some time later.
+    private static final long LEAVING_NS = 900_000_000L;
+    private static final long LOOK_NS = 20_000_000L;
+    // A configuration that can't be read is read again so often, after this time each, ns.
+    private static final int READ_AGAIN = 20;
+    private static final long READ_AGAIN_NS = 100_000_000L;
+
+    private final Path file;
+    private final Net net;
+    private final IoLoop loop;
+    private final Clock clock = new Clock();
+    private final Engine engine;
+    private final Hosts hosts;
+    private final Front front;
+    private final CommandChannel channel;
+    private final StreamListener listener;
+
+    private Node(Path file, NodeConfig config, Net net) throws IOException {
+        this.file = file;
+        this.net = net;
+        loop = net.loop(0);
+        int room = Math.max(16, config.sockets() - OWN_DESCRIPTORS);
+        int clients = (int) (room * CLIENTS);
+        hosts = new Hosts(loop, new HostTable(config.zones(), config.kinds(), clock::ofWall), config, room - clients);
+        engine = new Engine(Decider.rules(config.settings()), clock, loop, hosts);
+        front = new Front(loop, config.classes(), clients, engine);
+        channel = new CommandChannel(loop, config.channel(), config.cursor(), this::command);
+        loop.execute(() -> begin(config));
+        listener = front.open(net, config.listen());
+    }
+
+    /**
+     * Starts a dispatcher; it serves once this returns.
+     *
+     * @throws IOException where the configuration can't be read or the address is not to be had
+     */
+    public static Node start(Path file) throws IOException {
+        NodeConfig config = NodeConfig.read(file);
+        Net net = Net.open(config.name(), 1);
+        try {
+            return new Node(file, config, net);
+        } catch (IOException e) {
+            net.close();
+            throw e;
+        }
+    }
+
+    private void begin(NodeConfig config) {
+        hosts.start(engine);
+        engine.start();
+        config.known().forEach(this::command);
+        channel.connect();
+    }
+
+    private void command(Command c) {
+        if (c instanceof Command.Nodes n) {
+            hosts.take(n);
+        } else if (c instanceof Command.Drop d) {
+            long now = clock.now();
+            engine.tell(new RouterApi.Purged(d.object() == null ? 0 : Long.parseUnsignedLong(d.object(), 16), d.group(),
+                    now - clock.ofWall(d.whenMs())));
+        }
+    }
+
+    /** Where clients connect. */
+    public InetSocketAddress address() {
+        return listener.address();
+    }
+
+    /** Reads the configuration again: the command channel may have moved. */
+    public void reload() {
+        reload(READ_AGAIN);
+    }
+
+    private void reload(int tries) {
+        loop.execute(() -> {
+            try {
+                channel.moveTo(NodeConfig.read(file).channel());
+            } catch (IOException e) {
+                LOG.warn("configuration not taken: {}", e.getMessage());
+                if (tries > 0) {
+                    loop.after(READ_AGAIN_NS, () -> reload(tries - 1));
+                }
+            }
+        });
+    }
+
+    /** Serves what is taken and what still comes, then returns. */
+    public void drain() throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        loop.execute(front::leave);
+        loop.after(LEAVING_NS, () -> {
+            front.refuse();
+            whenIdle(done::countDown);
+        });
+        done.await();
+    }
+
+    private void whenIdle(Runnable then) {
+        if (engine.open() == 0 && front.written()) {
+            then.run();
+        } else {
+            loop.after(LOOK_NS, () -> whenIdle(then));
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        net.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/brooklock/platform/Try.java
@@ -0,0 +1,23 @@
+package brooklock.platform;
+
+import brooklock.RouterApi.Get;
+
+/** One attempt at a host. */
+final class Try {
+    final Job job;
+    final int attempt;
+    final Get get;
+    final long sentAtNs;
+    /** The connection it is on; null before it has one. */
+    HostLink link;
+    /** The connection it was on last, also after its end: no other attempt of its request goes there. */
+    HostLink usedLink;
+    boolean over;
+
+    Try(Job job, int attempt, Get get, long sentAtNs) {
+        this.job = job;
+        this.attempt = attempt;
+        this.get = get;
+        this.sentAtNs = sentAtNs;
+    }
+}
--- a/src/test/java/brooklock/ArchitectureTest.java
+++ b/src/test/java/brooklock/ArchitectureTest.java
@@ -13,7 +13,7 @@
 
 /** Which package sees which: each only those below it. */
 class ArchitectureTest {
-    private static final List<String> ORDER = List.of("cli", "rehearsal", "standin", "console", "edge", "members",
+    private static final List<String> ORDER = List.of("cli", "rehearsal", "standin", "console", "platform", "edge", "members",
             "credentials", "rights", "warming", "net", "http", "config", "bench");
     private static final List<String> PURE = List.of("brooklock.http", "brooklock.rights", "brooklock.warming", "brooklock");
     private final JavaClasses all = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
