--- a/src/main/java/brooklock/Main.java
+++ b/src/main/java/brooklock/Main.java
@@ -16,8 +16,8 @@
 
     /** Runs the command named by the first argument. */
     public static void main(String[] args) {
-        if (args.length == 1 && args[0].equals("node")) {
-            Platform.run();
+        if (args.length == 1 && args[0].matches("node|practice")) {
+            Platform.run(args[0]);
         }
         if (args.length != 1 || !args[0].equals("wirehost")) {
             Rest.run(args);
@@ -33,9 +33,10 @@
     }
 
     private static final class Platform {
-        static void run() {
+        static void run(String what) {
             try {
-                System.exit(brooklock.platform.NodeMain.run(System.getenv("NODE_CONFIG")));
+                System.exit(what.equals("practice") ? brooklock.platform.NodeMain.practice()
+                        : brooklock.platform.NodeMain.run(System.getenv("NODE_CONFIG")));
             } catch (InterruptedException e) {
                 System.exit(1);
             }
--- a/src/main/java/brooklock/net/Stream.java
+++ b/src/main/java/brooklock/net/Stream.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.xnio.ChannelPipe;
 import org.xnio.StreamConnection;
 
 /**
@@ -39,6 +40,16 @@
         connection.getSinkChannel().setWriteListener(c -> writable());
     }
 
+    /**
+     * Two ends within the program, without a socket.
+     *
+     * @throws IOException where descriptors have run out
+     */
+    public static Stream[] pair(IoLoop loop) throws IOException {
+        ChannelPipe<StreamConnection, StreamConnection> pipe = loop.thread.createFullDuplexPipeConnection();
+        return new Stream[] {new Stream(loop, pipe.getLeftSide()), new Stream(loop, pipe.getRightSide())};
+    }
+
     /** Begins to read for a taker. */
     public void start(Taker to) {
         taker = to;
--- a/src/main/java/brooklock/platform/ClientLink.java
+++ b/src/main/java/brooklock/platform/ClientLink.java
@@ -122,6 +122,7 @@
     }
 
     private void wrong(RpcMessage.Call call, String name, String why) throws Malformed {
+        front.engine().vitals().wrong();
         front.log(why);
         if (++wrong > MOST_WRONG) {
             throw new Malformed("too much out of order");
--- a/src/main/java/brooklock/platform/Engine.java
+++ b/src/main/java/brooklock/platform/Engine.java
@@ -42,6 +42,7 @@
     private record Due(long atNs, LongConsumer work) {
     }
 
+    private final Vitals vitals = new Vitals();
     private final Decider decider;
     private final Clock clock;
     private final IoLoop loop;
@@ -70,6 +71,10 @@
         arm();
     }
 
+    Vitals vitals() {
+        return vitals;
+    }
+
     /** Requests without a final answer. */
     int open() {
         return open;
@@ -81,11 +86,12 @@
             return false;
         }
         long now = clock.now();
-        Job job = new Job(++lastNumber, ask, now + ask.waitMs() * 1_000_000L, client, message);
+        Job job = new Job(++lastNumber, ask, now, now + ask.waitMs() * 1_000_000L, client, message);
         jobs.put(job.number, job);
         byId.put(ask.id(), job);
         open++;
         taken.accept(job);
+        vitals.taken();
         tell(new RouterApi.Request(job.number, ask.cls(), Long.parseUnsignedLong(ask.object(), 16), ask.part(),
                 ask.group(), ask.sizeKb(), ask.repeat(), job.deadlineNs));
         return true;
@@ -100,6 +106,7 @@
     void lapsed(Job job) {
         if (!job.closed) {
             close(job);
+            vitals.lapsed();
             tell(new RouterApi.Lapsed(job.number));
         }
     }
@@ -113,8 +120,10 @@
         t.link = null;
         Job job = t.job;
         job.open--;
+        vitals.attempt(outcome);
         if (outcome == Outcome.OK && !job.closed) {
             close(job);
+            vitals.served(clock.now() - job.takenNs);
             job.client.served(job, answer);
         }
         tell(new RouterApi.Done(job.number, t.attempt, t.get.host(), outcome, note,
@@ -180,12 +189,14 @@
             Job job = jobs.get(a.id());
             if (job != null && !job.closed) {
                 close(job);
+                vitals.refused();
                 job.client.refused(job, a.retryInNs());
             }
         } else if (action instanceof RouterApi.Fail a) {
             Job job = jobs.get(a.id());
             if (job != null && !job.closed) {
                 close(job);
+                vitals.failed();
                 job.client.failed(job);
             }
         } else if (action instanceof RouterApi.Cancel a) {
@@ -241,6 +252,7 @@
 
     private void fire() {
         timer = null;
+        vitals.lag(clock.now() - timerAt);
         timerAt = Long.MAX_VALUE;
         for (Due d = due.peek(); d != null && d.atNs() <= clock.now(); d = due.peek()) {
             due.poll();
--- a/src/main/java/brooklock/platform/FrameDecoder.java
+++ b/src/main/java/brooklock/platform/FrameDecoder.java
@@ -7,10 +7,13 @@
 import java.util.Map;
 import java.util.zip.CRC32;
 
-/** Frames of cache hosts read from any cut of bytes. Strict, with every length bounded. Pure. */
+/** Frames read from any cut of bytes. Strict, with every length bounded. Pure. */
 public final class FrameDecoder {
     private static final int CHECK = 4;
 
+    private final int markOf;
+    private final int least;
+    private final int most;
     private int code;
     private long id;
     private Gathered fields;
@@ -19,6 +22,18 @@
     private boolean fieldsDone;
     private boolean bodyDone;
 
+    /** Reads what cache hosts send. */
+    public FrameDecoder() {
+        this(Frame.FROM_HOST, Frame.OK, Frame.GREEN);
+    }
+
+    /** Reads frames of one mark, with codes in a range. */
+    FrameDecoder(int mark, int leastCode, int mostCode) {
+        markOf = mark;
+        least = leastCode;
+        most = mostCode;
+    }
+
     /** Reads up to the end of one frame; null where more bytes are needed. */
     public Frame next(ByteBuffer in) throws Malformed {
         in.order(ByteOrder.BIG_ENDIAN);
@@ -52,7 +67,7 @@
         int fieldBytes = in.getShort() & 0xffff;
         long bodyBytes = in.getInt() & 0xffffffffL;
         id = in.getLong();
-        if (mark != Frame.FROM_HOST || code < Frame.OK || code > Frame.GREEN) {
+        if (mark != markOf || code < least || code > most) {
             throw new Malformed("no head: mark " + mark + ", code " + code);
         }
         within = true;
--- a/src/main/java/brooklock/platform/Front.java
+++ b/src/main/java/brooklock/platform/Front.java
@@ -47,7 +47,8 @@
         return StreamListener.open(net, at, BACKLOG, this::accept);
     }
 
-    private void accept(Stream s) {
+    /** Takes a connection. */
+    void accept(Stream s) {
         if (links.size() >= most && !makeRoom()) {
             s.close();
             return;
--- a/src/main/java/brooklock/platform/HostLinks.java
+++ b/src/main/java/brooklock/platform/HostLinks.java
@@ -2,14 +2,13 @@
 
 import brooklock.RouterApi.Note;
 import brooklock.RouterApi.Outcome;
-import brooklock.net.Dial;
-import brooklock.net.IoLoop;
 import brooklock.net.Stream;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -26,37 +25,40 @@
     private record Waiting(Try attempt, ByteBuffer frame) {
     }
 
+    /** How connections are made. */
+    interface Dialer {
+        /** Begins one; calls either of the two later, unless what it gives is run before, which gives it up. */
+        Runnable dial(InetSocketAddress address, Consumer<Stream> opened, Consumer<String> failed);
+    }
+
     /** What an attempt comes to. */
     interface Taker {
         void ended(Try t, Outcome outcome, Note note, long waitedNs, Frame answer);
     }
 
     private final String name;
-    private final IoLoop loop;
+    private final Dialer dialer;
     private final InetSocketAddress address;
-    private final long connectNs;
     private final int streams;
     private final IntSupplier most;
     private final Taker taker;
     private final List<HostLink> links = new ArrayList<>();
     private final ArrayDeque<HostLink> idle = new ArrayDeque<>();
     private final ArrayDeque<Waiting> line = new ArrayDeque<>();
-    private final List<Dial> dials = new ArrayList<>();
+    private final List<Runnable> dials = new ArrayList<>();
     private boolean left;
 
     /**
      * None yet.
      *
-     * @param connectNs time for a connection to come up, ns
+     * @param dialer makes connections
      * @param streams requests that one connection may carry
      * @param most connections that may be open
      */
-    HostLinks(String name, IoLoop loop, InetSocketAddress address, long connectNs, int streams, IntSupplier most,
-            Taker taker) {
+    HostLinks(String name, Dialer dialer, InetSocketAddress address, int streams, IntSupplier most, Taker taker) {
         this.name = name;
-        this.loop = loop;
+        this.dialer = dialer;
         this.address = address;
-        this.connectNs = connectNs;
         this.streams = streams;
         this.most = most;
         this.taker = taker;
@@ -97,20 +99,20 @@
 
     private void dialMore() {
         while (dials.size() < line.size() && links.size() + dials.size() < Math.max(1, most.getAsInt())) {
-            Dial[] self = new Dial[1];
-            self[0] = Dial.to(loop, address, connectNs, s -> opened(self[0], s), why -> failed(self[0], why));
+            Runnable[] self = new Runnable[1];
+            self[0] = dialer.dial(address, s -> opened(self[0], s), why -> failed(self[0], why));
             dials.add(self[0]);
         }
     }
 
-    private void opened(Dial d, Stream s) {
+    private void opened(Runnable d, Stream s) {
         dials.remove(d);
         HostLink l = new HostLink(this, s);
         links.add(l);
         idle(l);
     }
 
-    private void failed(Dial d, String why) {
+    private void failed(Runnable d, String why) {
         dials.remove(d);
         Waiting first = line.poll();
         log(why, line.size() + 1);
@@ -164,7 +166,7 @@
     /** The host has left the list: its address may soon be another's, so nothing new goes there. */
     void leave() {
         left = true;
-        dials.forEach(Dial::giveUp);
+        dials.forEach(Runnable::run);
         dials.clear();
         for (Waiting w = line.poll(); w != null; w = line.poll()) {
             taker.ended(w.attempt(), Outcome.CONNECT_FAILED, Note.NONE, 0, null);
@@ -179,8 +181,10 @@
         return links.isEmpty() && dials.isEmpty() && line.isEmpty();
     }
 
-    int connections() {
-        return links.size() + dials.size();
+    /** Connections, attempts on them, attempts that wait for one. */
+    String summary() {
+        return name + "=" + (links.size() + dials.size()) + "/" + links.stream().mapToInt(HostLink::load).sum() + "/"
+                + line.size();
     }
 
     void log(String why, int attempts) {
--- a/src/main/java/brooklock/platform/Hosts.java
+++ b/src/main/java/brooklock/platform/Hosts.java
@@ -22,22 +22,24 @@
 
     private final IoLoop loop;
     private final HostTable table;
-    private final long connectNs;
+    private final HostLinks.Dialer dialer;
     private final long idleNs;
     private final int streams;
     private final int descriptors;
     private final Map<Long, HostLinks> links = new HashMap<>();
     private Engine engine;
+    private boolean closed;
 
     /**
      * No connections yet.
      *
      * @param descriptors connections to all hosts together
+     * @param dialer makes connections
      */
-    Hosts(IoLoop loop, HostTable table, NodeConfig config, int descriptors) {
+    Hosts(IoLoop loop, HostTable table, NodeConfig config, int descriptors, HostLinks.Dialer dialer) {
         this.loop = loop;
         this.table = table;
-        connectNs = config.settings().limits().connectTimeoutNs();
+        this.dialer = dialer;
         idleNs = Math.max(config.connIdleNs() / 2, config.connIdleNs() - IDLE_MARGIN_NS);
         streams = Math.max(1, config.streams());
         this.descriptors = descriptors;
@@ -49,6 +51,9 @@
     }
 
     private void sweep() {
+        if (closed) {
+            return;
+        }
         long before = System.nanoTime() - idleNs;
         links.values().forEach(l -> l.closeIdle(before));
         List<HostTable.Known> over = new ArrayList<>();
@@ -77,9 +82,17 @@
         engine.tell(list);
     }
 
-    /** Connections to all hosts, those on their way as well. */
-    int connections() {
-        return links.values().stream().mapToInt(HostLinks::connections).sum();
+    /** Closes what is open, whatever it is at. */
+    void close() {
+        closed = true;
+        links.values().forEach(HostLinks::leave);
+    }
+
+    /** Connections to each host and attempts on them, for the log. */
+    String summary() {
+        StringBuilder out = new StringBuilder();
+        links.values().forEach(l -> out.append(l.summary()).append(' '));
+        return out.toString();
     }
 
     @Override
@@ -91,8 +104,8 @@
             engine.ended(t, Outcome.CONNECT_FAILED, Note.NONE, 0, null);
             return;
         }
-        links.computeIfAbsent(host.number, n -> new HostLinks(host.name, loop, NodeConfig.address(host.address), connectNs,
-                streams, this::mostEach, engine::ended)).send(t, frame(t, host, source));
+        links.computeIfAbsent(host.number, n -> new HostLinks(host.name, dialer, NodeConfig.address(host.address), streams,
+                 this::mostEach, engine::ended)).send(t, frame(t, host, source));
     }
 
     private int mostEach() {
--- a/src/main/java/brooklock/platform/Job.java
+++ b/src/main/java/brooklock/platform/Job.java
@@ -7,6 +7,7 @@
 final class Job {
     final long number;
     final ClientRequest ask;
+    final long takenNs;
     final long deadlineNs;
     final ClientLink client;
     final long message;
@@ -14,9 +15,10 @@
     boolean closed;
     int open;
 
-    Job(long number, ClientRequest ask, long deadlineNs, ClientLink client, long message) {
+    Job(long number, ClientRequest ask, long takenNs, long deadlineNs, ClientLink client, long message) {
         this.number = number;
         this.ask = ask;
+        this.takenNs = takenNs;
         this.deadlineNs = deadlineNs;
         this.client = client;
         this.message = message;
--- a/src/main/java/brooklock/platform/Node.java
+++ b/src/main/java/brooklock/platform/Node.java
@@ -3,6 +3,7 @@
 import brooklock.RouterApi;
 import brooklock.edge.Clock;
 import brooklock.edge.Decider;
+import brooklock.net.Dial;
 import brooklock.net.IoLoop;
 import brooklock.net.Net;
 import brooklock.net.StreamListener;
@@ -26,6 +27,7 @@
     private static final long LOOK_NS = 20_000_000L;
     // A configuration that can't be read is read again so often, after this time each, ns.
     private static final int READ_AGAIN = 20;
+    private static final long VITALS_NS = 1_000_000_000L;
     private static final long READ_AGAIN_NS = 100_000_000L;
 
     private final Path file;
@@ -44,7 +46,9 @@
         loop = net.loop(0);
         int room = Math.max(16, config.sockets() - OWN_DESCRIPTORS);
         int clients = (int) (room * CLIENTS);
-        hosts = new Hosts(loop, new HostTable(config.zones(), config.kinds(), clock::ofWall), config, room - clients);
+        hosts = new Hosts(loop, new HostTable(config.zones(), config.kinds(), clock::ofWall), config, room - clients,
+                (address, opened, failed) -> Dial.to(loop, address, config.settings().limits().connectTimeoutNs(), opened,
+                        failed)::giveUp);
         engine = new Engine(Decider.rules(config.settings()), clock, loop, hosts);
         front = new Front(loop, config.classes(), clients, engine);
         channel = new CommandChannel(loop, config.channel(), config.cursor(), this::command);
@@ -60,6 +64,7 @@
     public static Node start(Path file) throws IOException {
         NodeConfig config = NodeConfig.read(file);
         Net net = Net.open(config.name(), 1);
+        Practice.run(net.loop(0));
         try {
             return new Node(file, config, net);
         } catch (IOException e) {
@@ -73,6 +78,12 @@
         engine.start();
         config.known().forEach(this::command);
         channel.connect();
+        vitals();
+    }
+
+    private void vitals() {
+        engine.vitals().tell(engine.open(), front.connections(), hosts.summary());
+        loop.after(VITALS_NS, this::vitals);
     }
 
     private void command(Command c) {
--- /dev/null
+++ b/src/main/java/brooklock/platform/NodeLogs.java
@@ -0,0 +1,58 @@
+package brooklock.platform;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.classic.spi.ConfiguratorRank;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.spi.ContextAwareBase;
+import org.slf4j.Logger;
+
+/**
+ * Logging of a dispatcher on the platform: the same lines as elsewhere, on standard error, set up without reading XML,
+ * which costs a start 0.3 s of a core. {@code -Dbrooklock.log=DEBUG} tells more. Elsewhere it leaves the turn to the file.
+ */
+@ConfiguratorRank(ConfiguratorRank.CUSTOM_HIGH_PRIORITY)
+public final class NodeLogs extends ContextAwareBase implements Configurator {
+    private static volatile boolean wanted;
+
+    /** Made by the logging library. */
+    public NodeLogs() {
+        // Named in META-INF/services.
+    }
+
+    /** Takes the turn, if called before the first logger is made. */
+    static void use() {
+        wanted = true;
+    }
+
+    @Override
+    public ExecutionStatus configure(LoggerContext context) {
+        if (!wanted) {
+            return ExecutionStatus.INVOKE_NEXT_IF_ANY;
+        }
+        JsonEncoder lines = new JsonEncoder();
+        lines.setContext(context);
+        lines.setWithSequenceNumber(false);
+        lines.setWithNanoseconds(false);
+        lines.setWithContext(false);
+        lines.setWithMDC(false);
+        lines.setWithArguments(false);
+        lines.setWithMessage(false);
+        lines.setWithFormattedMessage(true);
+        lines.start();
+        ConsoleAppender<ILoggingEvent> err = new ConsoleAppender<>();
+        err.setContext(context);
+        err.setTarget("System.err");
+        err.setEncoder(lines);
+        err.start();
+        ch.qos.logback.classic.Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
+        root.setLevel(Level.toLevel(System.getProperty("brooklock.log"), Level.INFO));
+        root.addAppender(err);
+        context.getLogger("org.xnio").setLevel(Level.WARN);
+        context.getLogger("org.jboss").setLevel(Level.WARN);
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+}
--- a/src/main/java/brooklock/platform/NodeMain.java
+++ b/src/main/java/brooklock/platform/NodeMain.java
@@ -1,5 +1,6 @@
 package brooklock.platform;
 
+import brooklock.net.Net;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
@@ -16,6 +17,7 @@
             System.err.println("brooklock: NODE_CONFIG names no file");
             return 2;
         }
+        NodeLogs.use();
         CountDownLatch early = new CountDownLatch(1);
         Node[] node = new Node[1];
         // Before anything else: the system's way with an unhandled one is to end the program.
@@ -33,6 +35,17 @@
         return 0;
     }
 
+    /** Goes the path of a request without a platform, so that a build can keep what a start loads. */
+    public static int practice() {
+        NodeLogs.use();
+        try (Net net = Net.open("practice", 1)) {
+            return Practice.run(net.loop(0)) ? 0 : 1;
+        } catch (IOException e) {
+            System.err.println("brooklock: " + e.getMessage());
+            return 1;
+        }
+    }
+
     private static void reload(CountDownLatch started, Node[] node) {
         try {
             started.await();
--- a/src/main/java/brooklock/platform/RpcWriter.java
+++ b/src/main/java/brooklock/platform/RpcWriter.java
@@ -56,7 +56,8 @@
         });
     }
 
-    private static void text(ByteBuffer b, String s) {
+    /** A short text. */
+    static void text(ByteBuffer b, String s) {
         byte[] bytes = s.getBytes(StandardCharsets.UTF_8);
         if (bytes.length < 32) {
             b.put((byte) (0xa0 | bytes.length));
--- /dev/null
+++ b/src/test/java/brooklock/platform/Configs.java
@@ -0,0 +1,84 @@
+package brooklock.platform;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.util.List;
+
+/** A configuration as the platform writes it, small. */
+final class Configs {
+    static final String READS = "pages";
+    static final String WRITES = "orders";
+
+    private Configs() {
+    }
+
+    static JsonObject endpoint(String name, String address, String type, String status) {
+        JsonObject o = new JsonObject();
+        o.addProperty("name", name);
+        o.addProperty("address", address);
+        o.addProperty("zone", "west");
+        o.addProperty("type", type);
+        o.addProperty("group", 1);
+        o.addProperty("status", status);
+        o.addProperty("weight", 4);
+        o.addProperty("since_ms", 0);
+        return o;
+    }
+
+    static JsonObject nodes(long cursor, boolean snapshot, List<JsonObject> endpoints) {
+        JsonArray a = new JsonArray();
+        endpoints.forEach(a::add);
+        JsonObject n = new JsonObject();
+        n.addProperty("index", cursor);
+        n.addProperty("snapshot", snapshot);
+        n.add("endpoints", a);
+        JsonObject o = new JsonObject();
+        o.addProperty("cursor", cursor);
+        o.add("nodes", n);
+        return o;
+    }
+
+    static String config(String channel, List<JsonObject> endpoints) {
+        JsonObject known = new JsonObject();
+        known.addProperty("cursor", 1);
+        JsonArray events = new JsonArray();
+        events.add(nodes(1, true, endpoints));
+        known.add("cmds", events);
+        JsonObject limits = new JsonObject();
+        limits.addProperty("cores", 0.5);
+        limits.addProperty("memory_mb", 128);
+        limits.addProperty("sockets", 256);
+        JsonObject o = new JsonObject();
+        o.addProperty("name", "n0");
+        o.addProperty("listen", "127.0.0.1:0");
+        o.addProperty("seed", "0123456789abcdef");
+        o.add("limits", limits);
+        o.addProperty("channel", channel);
+        o.add("known", known);
+        o.add("settings", JsonParser.parseString("""
+                {"balancers": 1, "dcs": ["west"], "discovery": "push", "tickNs": 2000000, "weights": "nominal", "zone": 0,
+                 "machineTypes": ["box", "parent", "origin"],
+                 "extra": {"goesThrough": [false, true], "goneEverywhereNs": 6000000000, "goodForNs": [0, 0],
+                  "hubByZone": [0], "joins": true, "notesGiven": "all", "oneFlowKbPerS": 4000.0,
+                  "parentLimitFactor": 2.0, "parentRampNs": 20000000000, "parentStartsAt": 0.1, "passThroughOk": true,
+                  "secondTierKind": 1, "storeKind": 2},
+                 "invariants": {"coldFrom": 0.2, "coldNs": 10000000000, "fallMultiple": 2.0, "overloadForNs": 2000000000},
+                 "lanes": [
+                  {"name": "pages", "effect": "read_like", "giveUpNs": 2500000000, "onTimeNs": 300000000,
+                   "keyScope": "all", "windowNs": 0, "aimStretch": 2.0},
+                  {"name": "orders", "effect": "idempotency_key", "giveUpNs": 3000000000, "onTimeNs": 700000000,
+                   "keyScope": "all", "windowNs": 3000000000, "aimStretch": 2.0}],
+                 "limits": {"cancel": true, "connIdleNs": 30000000000, "connectTimeoutNs": 400000000,
+                  "maxRetryAfterNs": 2000000000, "mayDuplicate": true, "retryAfter": true, "streamsPerConn": 100,
+                  "tryLimit": 6}}
+                """));
+        return o.toString();
+    }
+
+    /** Writes one, for a start by hand. */
+    public static void main(String[] args) {
+        System.out.println(config("127.0.0.1:9", List.of(endpoint("s-1", "127.0.0.1:8", "box", "active"),
+                endpoint("s-2", "127.0.0.1:7", "origin", "active"))));
+    }
+}
