--- /dev/null
+++ b/src/test/java/brooklock/platform/NodeTest.java
@@ -0,0 +1,360 @@
+package brooklock.platform;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brooklock.platform.Caller.Answer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A whole dispatcher on loopback sockets, its peers played by the test. */
+@Timeout(120)
+class NodeTest {
+    private static final byte[] BODY = "the bytes of the part".getBytes(StandardCharsets.US_ASCII);
+
+    @TempDir
+    private Path dir;
+    private final List<FakeHost> hosts = new ArrayList<>();
+    private ServerSocket channel;
+    private Node node;
+    private Caller caller;
+
+    @BeforeEach
+    void begin() throws IOException {
+        channel = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        if (caller != null) {
+            caller.close();
+        }
+        if (node != null) {
+            node.close();
+        }
+        for (FakeHost h : hosts) {
+            h.close();
+        }
+        channel.close();
+    }
+
+    private void start(FakeHost.Way... ways) throws IOException {
+        List<com.google.gson.JsonObject> list = new ArrayList<>();
+        for (FakeHost.Way w : ways) {
+            FakeHost h = new FakeHost(w);
+            hosts.add(h);
+            list.add(Configs.endpoint("s-" + hosts.size(), h.address(), "box", "active"));
+        }
+        FakeHost origin = new FakeHost(FakeHost.serves(BODY));
+        hosts.add(origin);
+        list.add(Configs.endpoint("s-o", origin.address(), "origin", "active"));
+        node = Node.start(write(Configs.config("127.0.0.1:" + channel.getLocalPort(), list)));
+        caller = new Caller(node.address());
+    }
+
+    private Path write(String config) throws IOException {
+        return Files.writeString(dir.resolve("config.json"), config);
+    }
+
+    private static void until(java.util.function.BooleanSupplier what) throws InterruptedException {
+        while (!what.getAsBoolean()) {
+            TimeUnit.MILLISECONDS.sleep(2);
+        }
+    }
+
+    @Test
+    void aReadIsServedWithItsBytesAndAsksWhatTheModuleChose() throws Exception {
+        start(FakeHost.serves(BODY));
+        Answer a = caller.ask(1, 0x11, 0x7f, 2000);
+        assertNull(a.error());
+        assertArrayEquals(BODY, a.body());
+        FakeHost.Asked asked = hosts.get(0).asked.get(0);
+        assertEquals(0x11, asked.id());
+        assertEquals(Map.of("cls", "pages", "item", "000000000000007f", "chunk", "0", "up", "s-o", "store", "1", "do", "share",
+                "limit", asked.fields().get("limit")), asked.fields());
+        assertTrue(Integer.parseInt(asked.fields().get("limit")) <= 2000);
+    }
+
+    @Test
+    void aWriteGoesToTheOriginWithItsKeyAndBody() throws Exception {
+        start(FakeHost.serves(BODY));
+        Map<String, String> f = Caller.fields(0x12, 0x80, 2000);
+        f.put("k", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+        caller.send(Caller.call(1, Configs.WRITES, f, BODY));
+        assertNull(caller.answer().error());
+        FakeHost.Asked asked = hosts.get(1).asked.get(0);
+        assertArrayEquals(BODY, asked.body());
+        assertEquals("5c0f6e1a2b3d4c59a8b7c6d5e4f30211", asked.fields().get("nonce"));
+        assertTrue(hosts.get(0).asked.isEmpty());
+    }
+
+    @Test
+    void aCopyThatHoldsIsToldWithoutBytes() throws Exception {
+        start((a, out, s) -> out.write(FakeHost.frame(Frame.SAME, a.id(), "rev=0123456789abcdef,tell=hit", new byte[0])));
+        Map<String, String> f = Caller.fields(0x13, 0x81, 2000);
+        f.put("etag", "0123456789abcdef");
+        caller.send(Caller.call(1, Configs.READS, f, new byte[0]));
+        Answer a = caller.answer();
+        assertEquals(Map.of("notmod", "1"), a.fields());
+        assertEquals(0, a.body().length);
+        assertEquals("0123456789abcdef", hosts.get(0).asked.get(0).fields().get("inm"));
+    }
+
+    @Test
+    void aSpoiltAnswerIsNotPassedOnAndTriedElsewhere() throws Exception {
+        AtomicInteger spoilt = new AtomicInteger();
+        FakeHost.Way once = (a, out, s) -> {
+            byte[] f = FakeHost.frame(Frame.OK, a.id(), "tell=hit", BODY);
+            if (spoilt.getAndIncrement() == 0) {
+                f[f.length - 6] ^= 1;
+            }
+            out.write(f);
+        };
+        start(once, once);
+        assertArrayEquals(BODY, caller.ask(1, 0x14, 0x82, 2000).body());
+        assertEquals(2, spoilt.get());
+    }
+
+    @Test
+    void answersNobodyWaitsForAreLeft() throws Exception {
+        start((a, out, s) -> {
+            out.write(FakeHost.frame(Frame.OK, 999, "tell=hit", new byte[5000]));
+            out.write(FakeHost.frame(Frame.OK, a.id(), "tell=hit", BODY));
+            out.write(FakeHost.frame(Frame.OK, a.id(), "tell=hit", BODY));
+        });
+        for (int i = 1; i <= 20; i++) {
+            assertArrayEquals(BODY, caller.ask(i, 0x100 + i, 0x83, 2000).body());
+        }
+    }
+
+    @Test
+    void aHostThatBreaksOffIsReplacedByAnother() throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        FakeHost.Way once = (a, out, s) -> {
+            if (asked.getAndIncrement() == 0) {
+                out.write(FakeHost.frame(Frame.OK, a.id(), "tell=hit", BODY), 0, 20);
+                s.close();
+            } else {
+                FakeHost.serves(BODY).go(a, out, s);
+            }
+        };
+        start(once, once);
+        assertArrayEquals(BODY, caller.ask(1, 0x15, 0x84, 2000).body());
+    }
+
+    @Test
+    void aSilentHostLeavesNoRequestWithoutAnAnswer() throws Exception {
+        start((a, out, s) -> { });
+        Answer a = caller.ask(1, 0x16, 0x85, 300);
+        assertEquals("Overloaded", a.error());
+        assertEquals("2000", a.fields().get("w"));
+    }
+
+    @Test
+    void hostsThatAreNotThereLeaveNoRequestWithoutAnAnswer() throws Exception {
+        start(FakeHost.serves(BODY));
+        for (FakeHost h : hosts) {
+            h.close();
+        }
+        assertNotNull(caller.ask(1, 0x17, 0x86, 1000).error());
+    }
+
+    @Test
+    void aRequestThatIsTakenBackGetsNoAnswerAndItsNumberIsFree() throws Exception {
+        start((a, out, s) -> {
+            if (a.id() != 0x18) {
+                FakeHost.serves(BODY).go(a, out, s);
+            }
+        });
+        caller.send(Caller.call(1, Configs.READS, Caller.fields(0x18, 0x87, 2000), new byte[0]));
+        caller.send(Caller.forget(1));
+        assertArrayEquals(BODY, caller.ask(1, 0x19, 0x87, 2000).body());
+    }
+
+    @Test
+    void whatIsOutOfOrderIsAnsweredAndHarmsNoOther() throws Exception {
+        start((a, out, s) -> {
+            if (a.id() != 0x20) {
+                FakeHost.serves(BODY).go(a, out, s);
+            }
+        });
+        caller.send(Caller.call(1, Configs.READS, Caller.fields(0x20, 0x88, 2000), new byte[0]));
+        until(() -> !hosts.get(0).asked.isEmpty());
+        try (Caller bad = new Caller(node.address())) {
+            assertEquals("Invalid", bad.ask(1, 0x20, 0x99, 2000).error());
+            bad.send(Caller.call(2, "nothing", Caller.fields(0x21, 0x99, 2000), new byte[0]));
+            assertEquals("Invalid", bad.answer().error());
+            bad.send(new byte[] {(byte) 0xc1});
+            assertNull(bad.answer());
+        }
+        assertArrayEquals(BODY, caller.ask(2, 0x22, 0x88, 2000).body());
+    }
+
+    @Test
+    void callsAboveTheBoundOfAConnectionAreRefused() throws Exception {
+        start((a, out, s) -> { });
+        for (int i = 1; i <= ClientLink.MOST_OPEN + 1; i++) {
+            caller.send(Caller.call(i, Configs.READS, Caller.fields(0x200 + i, 0x300 + i, 2400), new byte[0]));
+        }
+        Answer a = caller.answer();
+        assertEquals("Overloaded", a.error());
+        assertEquals(ClientLink.MOST_OPEN + 1, a.number());
+    }
+
+    @Test
+    void aClientThatSaysNothingIsClosed() throws Exception {
+        start(FakeHost.serves(BODY));
+        assertNull(caller.answer());
+        try (Caller half = new Caller(node.address())) {
+            half.send(new byte[] {(byte) 0x94, 0, 1});
+            assertNull(half.answer());
+        }
+    }
+
+    @Test
+    void silentClientsGiveWayToThoseThatAsk() throws Exception {
+        start(FakeHost.serves(BODY));
+        List<Caller> silent = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            silent.add(new Caller(node.address()));
+        }
+        try (Caller late = new Caller(node.address())) {
+            assertArrayEquals(BODY, late.ask(1, 0x23, 0x89, 2000).body());
+        }
+        for (Caller c : silent) {
+            c.close();
+        }
+    }
+
+    private String resumed(Socket s) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int b = s.getInputStream().read(); b != '\n'; b = s.getInputStream().read()) {
+            line.append((char) b);
+        }
+        return line.toString();
+    }
+
+    private static void tell(Socket s, Object line) throws IOException {
+        s.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void theCommandChannelIsTakenUpWhereItBrokeOff() throws Exception {
+        start(FakeHost.serves(BODY));
+        try (Socket first = channel.accept()) {
+            assertEquals("resume 1", resumed(first));
+            tell(first, "{\"cursor\":2,\"drop\":{\"family\":1,\"when\":" + System.currentTimeMillis() + "}}");
+            first.getOutputStream().write("{\"cursor\":3,\"drop\":{\"fam".getBytes(StandardCharsets.UTF_8));
+        }
+        try (Socket second = channel.accept()) {
+            assertEquals("resume 2", resumed(second));
+            tell(second, "{\"cursor\":2,\"drop\":{\"family\":1,\"when\":1}}");
+            tell(second, 2);
+            tell(second, Configs.nodes(3, false, List.of(
+                    Configs.endpoint("s-1", hosts.get(0).address(), "box", "left"))));
+            tell(second, "{\"cursor\":5,\"drop\":{\"family\":1,\"when\":1}}");
+            try (Socket third = channel.accept()) {
+                assertEquals("resume 3", resumed(third));
+                // The only cache has left: the request goes to the origin.
+                assertArrayEquals(BODY, caller.ask(1, 0x24, 0x90, 2000).body());
+                assertTrue(hosts.get(0).asked.isEmpty());
+                assertEquals(1, hosts.get(1).asked.size());
+            }
+        }
+    }
+
+    @Test
+    void aSilentCommandChannelIsLeft() throws Exception {
+        start(FakeHost.serves(BODY));
+        try (Socket first = channel.accept()) {
+            assertEquals("resume 1", resumed(first));
+            try (Socket second = channel.accept()) {
+                assertEquals("resume 1", resumed(second));
+            }
+        }
+    }
+
+    @Test
+    void aNewConfigurationMovesTheCommandChannel() throws Exception {
+        start(FakeHost.serves(BODY));
+        try (Socket first = channel.accept(); ServerSocket next = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
+            assertEquals("resume 1", resumed(first));
+            write("{\"chan");
+            node.reload();
+            write(Configs.config("127.0.0.1:" + next.getLocalPort(), List.of()));
+            try (Socket second = next.accept()) {
+                assertEquals("resume 1", resumed(second));
+            }
+        }
+    }
+
+    @Test
+    void anEndLetsWhatIsTakenBeAnswered() throws Exception {
+        start((a, out, s) -> {
+            if (a.id() == 0x25) {
+                until2(() -> hosts.get(0).asked.size() > 1);
+            }
+            FakeHost.serves(BODY).go(a, out, s);
+        });
+        caller.send(Caller.call(1, Configs.READS, Caller.fields(0x25, 0x91, 2400), new byte[0]));
+        until(() -> !hosts.get(0).asked.isEmpty());
+        Thread end = new Thread(() -> {
+            try {
+                node.drain();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        end.start();
+        try (Caller other = new Caller(node.address())) {
+            other.send(Caller.call(1, "isWell", Map.of(), null));
+            until(() -> {
+                try {
+                    other.send(Caller.call(2, "isWell", Map.of(), null));
+                    return !other.answer().truth();
+                } catch (IOException | Malformed e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            assertArrayEquals(BODY, ask(other));
+        }
+        assertArrayEquals(BODY, caller.answer().body());
+        end.join();
+        assertFalse(end.isAlive());
+    }
+
+    private static byte[] ask(Caller c) throws IOException, Malformed {
+        c.send(Caller.call(3, Configs.READS, Caller.fields(0x26, 0x92, 2400), new byte[0]));
+        for (Answer a = c.answer(); a != null; a = c.answer()) {
+            if (a.number() == 3) {
+                return a.body();
+            }
+        }
+        return null;
+    }
+
+    private static void until2(java.util.function.BooleanSupplier what) {
+        while (!what.getAsBoolean()) {
+            Thread.onSpinWait();
+        }
+    }
+}
