--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -381,7 +381,7 @@
         } else {
             target = pickEdge(q);
             source = q.cls.goesThrough() ? origin : pickSource(q);
-            if (set.direct() && (target == null || passesBy(q, target))) {
+            if (target == null && set.direct()) {
                 target = source;
                 source = origin;
             }
@@ -398,12 +398,6 @@
         return false;
     }
 
-    // A request that its cache has no room for goes straight to the parent while ways behind are free.
-    private boolean passesBy(Req q, Host target) {
-        return !q.cls.goesThrough() && q.open == 0 && !target.gate.admits(q.work, now)
-                && originGate.admits(q.work * parentMissShare, now) && fillGate.limit == Double.POSITIVE_INFINITY;
-    }
-
     // How far a request may reach now. Where a way is jammed it goes only as far as the way is free, and
     // further on a miss if there is room by then: hits are served however jammed the fills are.
     private Reach reach(Req q, Host target) {
