--- a/src/main/java/brooklock/platform/Command.java
+++ b/src/main/java/brooklock/platform/Command.java
@@ -15,8 +15,8 @@
     record Nodes(long cursor, boolean snapshot, List<Endpoint> endpoints) implements Command {
     }
 
-    /** A purge of an object, or of a group where {@code object} is null, at a moment of wall time. */
-    record Drop(long cursor, String object, int group, long whenMs) implements Command {
+    /** A purge of an object, or of a group where {@code object} is 0, at a moment of wall time. */
+    record Drop(long cursor, long object, int group, long whenMs) implements Command {
     }
 
     /** The number of the last event, told each second. */
--- a/src/main/java/brooklock/platform/CommandReader.java
+++ b/src/main/java/brooklock/platform/CommandReader.java
@@ -58,7 +58,7 @@
             }
             if (o.has("drop")) {
                 JsonObject drop = o.getAsJsonObject("drop");
-                return new Command.Drop(cursor, drop.has("id") ? drop.get("id").getAsString() : null,
+                return new Command.Drop(cursor, drop.has("id") ? Long.parseUnsignedLong(drop.get("id").getAsString(), 16) : 0,
                         drop.has("family") ? drop.get("family").getAsInt() : 0, drop.get("when").getAsLong());
             }
             return new Command.Other(cursor);
--- a/src/main/java/brooklock/platform/Engine.java
+++ b/src/main/java/brooklock/platform/Engine.java
@@ -256,7 +256,12 @@
         timerAt = Long.MAX_VALUE;
         for (Due d = due.peek(); d != null && d.atNs() <= clock.now(); d = due.peek()) {
             due.poll();
-            d.work().accept(d.atNs());
+            try {
+                d.work().accept(d.atNs());
+            } catch (RuntimeException fault) {
+                // What else is due must not wait for ever.
+                LOG.error("a timer's work failed", fault);
+            }
         }
         arm();
     }
--- a/src/main/java/brooklock/platform/HostLink.java
+++ b/src/main/java/brooklock/platform/HostLink.java
@@ -17,6 +17,8 @@
 final class HostLink implements Stream.Taker {
     // Longest that the rest of a frame may stay away, ns: several times the gaps of the slowest transfer.
     private static final long STALL_NS = 1_500_000_000L;
+    // Ids given up on one connection; with more it takes no new requests and is closed once it is idle.
+    private static final int MOST_QUIT = 256;
     private static final Note[] NOTES = Note.values();
     private static final Map<String, Note> WORDS = words();
 
@@ -54,7 +56,8 @@
     }
 
     boolean usable(long id, int streams) {
-        return !stream.closed() && open.size() < streams && !open.containsKey(id) && !quit.contains(id);
+        return !stream.closed() && open.size() < streams && !open.containsKey(id) && !quit.contains(id)
+                && quit.size() < MOST_QUIT;
     }
 
     void send(Try t, ByteBuffer frame) {
--- a/src/main/java/brooklock/platform/HostLinks.java
+++ b/src/main/java/brooklock/platform/HostLinks.java
@@ -176,9 +176,9 @@
         }
     }
 
-    /** Whether nothing is open any more. */
-    boolean unused() {
-        return links.isEmpty() && dials.isEmpty() && line.isEmpty();
+    /** Whether these lead to an address. */
+    boolean isAt(String where) {
+        return address.equals(NodeConfig.address(where));
     }
 
     /** Connections, attempts on them, attempts that wait for one. */
--- a/src/main/java/brooklock/platform/Hosts.java
+++ b/src/main/java/brooklock/platform/Hosts.java
@@ -58,15 +58,11 @@
         links.values().forEach(l -> l.closeIdle(before));
         List<HostTable.Known> over = new ArrayList<>();
         for (HostTable.Known k : table.all()) {
-            HostLinks l = links.get(k.number);
-            if (k.gone() && (l == null || l.unused())) {
+            if (k.gone()) {
                 over.add(k);
             }
         }
-        over.forEach(k -> {
-            links.remove(k.number);
-            table.forget(k);
-        });
+        over.forEach(table::forget);
         loop.after(SWEEP_NS, this::sweep);
     }
 
@@ -74,8 +70,9 @@
     void take(Command.Nodes news) {
         HostList list = table.take(news);
         for (HostTable.Known k : table.all()) {
-            HostLinks l = k.gone() ? links.get(k.number) : null;
-            if (l != null) {
+            HostLinks l = links.get(k.number);
+            if (l != null && (k.gone() || !l.isAt(k.address))) {
+                links.remove(k.number);
                 l.leave();
             }
         }
--- a/src/main/java/brooklock/platform/Node.java
+++ b/src/main/java/brooklock/platform/Node.java
@@ -91,8 +91,7 @@
             hosts.take(n);
         } else if (c instanceof Command.Drop d) {
             long now = clock.now();
-            engine.tell(new RouterApi.Purged(d.object() == null ? 0 : Long.parseUnsignedLong(d.object(), 16), d.group(),
-                    now - clock.ofWall(d.whenMs())));
+            engine.tell(new RouterApi.Purged(d.object(), d.group(), now - clock.ofWall(d.whenMs())));
         }
     }
 
--- a/src/test/java/brooklock/platform/CodecTest.java
+++ b/src/test/java/brooklock/platform/CodecTest.java
@@ -153,8 +153,8 @@
             List<Command> got = read(new CommandReader()::next, bytes, cut);
             assertEquals(5, got.size());
             assertEquals("leaving", ((Command.Nodes) got.get(0)).endpoints().get(0).status());
-            assertEquals(new Command.Drop(42, "7f3a9c21e0b4d655", 0, 1764576000123L), got.get(1));
-            assertEquals(new Command.Drop(43, null, 17, 1764576000480L), got.get(2));
+            assertEquals(new Command.Drop(42, 0x7f3a9c21e0b4d655L, 0, 1764576000123L), got.get(1));
+            assertEquals(new Command.Drop(43, 0, 17, 1764576000480L), got.get(2));
             assertEquals(new Command.Beat(43), got.get(3));
             assertEquals(new Command.Other(44), got.get(4));
         }
@@ -162,6 +162,7 @@
 
     @ParameterizedTest
     @ValueSource(strings = {"", "{", "null", "[]", "{}", "{\"cursor\":\"x\"}", "{\"cursor\":1,\"drop\":{}}",
+        "{\"cursor\":1,\"drop\":{\"id\":\"x\",\"when\":1}}",
         "{\"cursor\":1,\"nodes\":{\"snapshot\":true,\"endpoints\":[{}]}}", "43 44", "\u0000"})
     void linesThatTellNothingAreTold(String line) {
         assertThrows(Malformed.class, () -> CommandReader.of(line));
--- a/src/test/java/brooklock/platform/NodeTest.java
+++ b/src/test/java/brooklock/platform/NodeTest.java
@@ -295,6 +295,27 @@
         }
     }
 
+    @Test
+    void aHostThatLeftAndIsBackElsewhereIsReached() throws Exception {
+        start(FakeHost.serves(BODY));
+        assertArrayEquals(BODY, caller.ask(1, 0x30, 0x94, 2000).body());
+        FakeHost moved = new FakeHost(FakeHost.serves(BODY));
+        hosts.add(moved);
+        try (Socket s = channel.accept()) {
+            resumed(s);
+            tell(s, Configs.nodes(2, false, List.of(Configs.endpoint("s-1", hosts.get(0).address(), "box", "left"))));
+            tell(s, Configs.nodes(3, false, List.of(Configs.endpoint("s-1", moved.address(), "box", "active"))));
+            int i = 2;
+            while (moved.asked.isEmpty()) {
+                assertArrayEquals(BODY, caller.ask(i, 0x30 + i, 0x94, 2000).body());
+                i++;
+            }
+            int before = moved.asked.size();
+            assertArrayEquals(BODY, caller.ask(i, 0x30 + i, 0x94, 2000).body());
+            assertEquals(before + 1, moved.asked.size());
+        }
+    }
+
     @Test
     void aSilentCommandChannelIsLeft() throws Exception {
         start(FakeHost.serves(BODY));
