An answer whose fields can't be used ends its attempt at once

Seen on reading again: HostLink.answer took the attempt off its connection before it read the field fill; where that can't be read the connection was closed and the attempt stayed out, until the client's deadline ended its request. Change: fields are read first, so the attempt ends with its connection and is tried elsewhere. Try.usedLink, which nobody read, and clearing Try.link beside Engine.ended, which does it, are gone.

Result: a test in which the first host answers with fill=soon is served by the second host; 20 cases of NodeTest green.

--- a/src/main/java/brooklock/platform/HostLink.java
+++ b/src/main/java/brooklock/platform/HostLink.java
@@ -62,7 +62,6 @@
 
     void send(Try t, ByteBuffer frame) {
         t.link = this;
-        t.usedLink = this;
         open.put(t.job.ask.id(), t);
         stream.write(frame);
     }
@@ -121,11 +120,11 @@
         if (f.code() == Frame.SAME && t.job.ask.tag() == null) {
             throw new Malformed("the client's copy confirmed where it has none");
         }
+        Note note = WORDS.getOrDefault(f.fields().getOrDefault("tell", ""), Note.NONE);
+        long waited = waited(f.fields().get("fill"));
         open.remove(f.id());
         idleSince = System.nanoTime();
-        Note note = WORDS.getOrDefault(f.fields().getOrDefault("tell", ""), Note.NONE);
-        t.link = null;
-        pool.ended(t, outcome, note, waited(f.fields().get("fill")), f);
+        pool.ended(t, outcome, note, waited, f);
         if (open.isEmpty()) {
             pool.idle(this);
         }
@@ -158,7 +157,6 @@
         pool.log(why, open.size());
         for (Try t : new ArrayList<>(open.values())) {
             open.remove(t.job.ask.id());
-            t.link = null;
             pool.ended(t, t == answering ? Outcome.ERROR : Outcome.RESET, Note.NONE, 0, null);
         }
     }
--- a/src/main/java/brooklock/platform/Try.java
+++ b/src/main/java/brooklock/platform/Try.java
@@ -10,8 +10,6 @@
     final long sentAtNs;
     /** The connection it is on; null before it has one. */
     HostLink link;
-    /** The connection it was on last, also after its end: no other attempt of its request goes there. */
-    HostLink usedLink;
     boolean over;
 
     Try(Job job, int attempt, Get get, long sentAtNs) {
--- a/src/test/java/brooklock/platform/NodeTest.java
+++ b/src/test/java/brooklock/platform/NodeTest.java
@@ -134,6 +134,16 @@
         assertEquals(2, spoilt.get());
     }
 
+    @Test
+    void anAnswerWhoseFieldsCantBeUsedEndsItsAttemptAtOnce() throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        FakeHost.Way once = (a, out, s) -> out.write(FakeHost.frame(Frame.OK, a.id(),
+                asked.getAndIncrement() == 0 ? "tell=hit,fill=soon" : "tell=hit", BODY));
+        start(once, once);
+        assertArrayEquals(BODY, caller.ask(1, 0x31, 0x95, 2000).body());
+        assertEquals(2, asked.get());
+    }
+
     @Test
     void answersNobodyWaitsForAreLeft() throws Exception {
         start((a, out, s) -> {
