--- a/src/main/java/brooklock/Main.java
+++ b/src/main/java/brooklock/Main.java
@@ -16,7 +16,7 @@
 
     /** Runs the command named by the first argument. */
     public static void main(String[] args) {
-        if (args.length == 1 && args[0].matches("node|practice")) {
+        if (args.length == 1 && (args[0].equals("node") || args[0].equals("practice"))) {
             Platform.run(args[0]);
         }
         if (args.length != 1 || !args[0].equals("wirehost")) {
@@ -32,6 +32,7 @@
         }
     }
 
+    // Classes of their own, so that their references are resolved only where they are used.
     private static final class Platform {
         static void run(String what) {
             try {
@@ -43,7 +44,6 @@
         }
     }
 
-    // Classes of their own, so that their references are resolved only where they are used.
     private static final class Rest {
         static void run(String[] args) {
             System.exit(brooklock.cli.Cli.run(args));
--- a/src/main/java/brooklock/net/ClientConnection.java
+++ b/src/main/java/brooklock/net/ClientConnection.java
@@ -80,11 +80,7 @@
             return;
         }
         try {
-            if (!output.flush()) {
-                connection.getSinkChannel().resumeWrites();
-            } else if (connection.getSinkChannel().isWriteResumed()) {
-                connection.getSinkChannel().suspendWrites();
-            }
+            flushed();
         } catch (IOException e) {
             broken(String.valueOf(e.getMessage()));
         }
--- a/src/main/java/brooklock/net/Stream.java
+++ b/src/main/java/brooklock/net/Stream.java
@@ -152,12 +152,7 @@
             return;
         }
         try {
-            if (!output.flush()) {
-                connection.getSinkChannel().resumeWrites();
-                return;
-            }
-            if (connection.getSinkChannel().isWriteResumed()) {
-                connection.getSinkChannel().suspendWrites();
+            if (flushed()) {
                 taker.allWritten();
             }
         } catch (IOException e) {
--- a/src/main/java/brooklock/net/Wire.java
+++ b/src/main/java/brooklock/net/Wire.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import org.xnio.conduits.ConduitStreamSinkChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.ssl.SslConnection;
 
@@ -43,6 +44,20 @@
         return source.read(in);
     }
 
+    /** Writes what waits, and asks to be called again while something does; true once nothing does after such a call. */
+    final boolean flushed() throws IOException {
+        ConduitStreamSinkChannel sink = connection.getSinkChannel();
+        if (!output.flush()) {
+            sink.resumeWrites();
+            return false;
+        }
+        boolean waited = sink.isWriteResumed();
+        if (waited) {
+            sink.suspendWrites();
+        }
+        return waited;
+    }
+
     /** Keeps what was not taken of a buffer that was flipped for reading; gives it back where nothing was left. */
     final void keepRest() {
         if (in != null) {
--- a/src/main/java/brooklock/platform/ClientLink.java
+++ b/src/main/java/brooklock/platform/ClientLink.java
@@ -42,7 +42,7 @@
     }
 
     boolean idle() {
-        return open.isEmpty() && stream.pending() == 0;
+        return open.isEmpty() && written();
     }
 
     boolean spoke() {
--- a/src/main/java/brooklock/platform/Engine.java
+++ b/src/main/java/brooklock/platform/Engine.java
@@ -16,7 +16,6 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
-import java.util.function.LongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioExecutor;
@@ -39,7 +38,7 @@
         void stop(Try t);
     }
 
-    private record Due(long atNs, LongConsumer work) {
+    private record Due(long atNs, Runnable work) {
     }
 
     private final Vitals vitals = new Vitals();
@@ -205,7 +204,7 @@
                 stop(job.tries.get(a.attempt()), Outcome.CANCELLED);
             }
         } else if (action instanceof RouterApi.SetTimer a) {
-            due.add(new Due(a.atNs(), now -> tell(new RouterApi.TimerFired(a.token()))));
+            due.add(new Due(a.atNs(), () -> tell(new RouterApi.TimerFired(a.token()))));
         }
     }
 
@@ -221,7 +220,7 @@
             ended(t, Outcome.MOOT, Note.NONE, 0, null);
             return;
         }
-        due.add(new Due(Math.min(job.deadlineNs, t.sentAtNs + a.limitNs()), now -> stop(t, Outcome.TIMEOUT)));
+        due.add(new Due(Math.min(job.deadlineNs, t.sentAtNs + a.limitNs()), () -> stop(t, Outcome.TIMEOUT)));
         carrier.send(t);
     }
 
@@ -257,7 +256,7 @@
         for (Due d = due.peek(); d != null && d.atNs() <= clock.now(); d = due.peek()) {
             due.poll();
             try {
-                d.work().accept(d.atNs());
+                d.work().run();
             } catch (RuntimeException fault) {
                 // What else is due must not wait for ever.
                 LOG.error("a timer's work failed", fault);
--- a/src/main/java/brooklock/platform/Node.java
+++ b/src/main/java/brooklock/platform/Node.java
@@ -82,7 +82,7 @@
     }
 
     private void vitals() {
-        engine.vitals().tell(engine.open(), front.connections(), hosts.summary());
+        engine.vitals().tell(engine.open(), front.connections(), hosts::summary);
         loop.after(VITALS_NS, this::vitals);
     }
 
--- a/src/main/java/brooklock/platform/Practice.java
+++ b/src/main/java/brooklock/platform/Practice.java
@@ -53,18 +53,18 @@
         front = new Front(loop, config.classes(), 1, engine);
     }
 
-    /** Runs it on an I/O thread that has nothing else to do yet; false where it could not be gone through. */
-    static boolean run(IoLoop loop) {
+    /** Runs it on an I/O thread that has nothing else to do yet. */
+    static void run(IoLoop loop) {
         try (InputStream in = Practice.class.getResourceAsStream("practice.json")) {
             Practice p = new Practice(loop, NodeConfig.of(new String(in.readAllBytes(), StandardCharsets.UTF_8)));
             loop.execute(p::begin);
-            return p.done.await(2 * MOST_NS, TimeUnit.NANOSECONDS) && p.round == ROUNDS;
+            if (!p.done.await(2 * MOST_NS, TimeUnit.NANOSECONDS)) {
+                LOG.warn("no practice: it did not end in time");
+            }
         } catch (IOException e) {
             LOG.warn("no practice: {}", e.getMessage());
-            return false;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return false;
         }
     }
 
--- a/src/main/java/brooklock/platform/Vitals.java
+++ b/src/main/java/brooklock/platform/Vitals.java
@@ -2,6 +2,7 @@
 
 import brooklock.RouterApi.Outcome;
 import java.util.Arrays;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -57,7 +58,7 @@
     }
 
     /** Writes the second's line and begins the next. */
-    void tell(int open, int clients, String hosts) {
+    void tell(int open, int clients, Supplier<String> hosts) {
         if (LOG.isDebugEnabled()) {
             StringBuilder ends = new StringBuilder();
             for (int i = 0; i < outcomes.length; i++) {
@@ -66,7 +67,7 @@
             LOG.debug("taken={} served={} refused={} failed={} lapsed={} wrong={} open={} mean_ms={} most_ms={} lag_ms={}"
                     + " clients={} attempts:{} hosts: {}", taken, served, refused, failed, lapsed, wrong, open,
                     served == 0 ? 0 : sumNs / served / 1_000_000, mostNs / 1_000_000, mostLagNs / 1_000_000, clients,
-                    ends, hosts);
+                    ends, hosts.get());
         }
         Arrays.fill(outcomes, 0);
         taken = 0;
