Attempts that waited begin true or not at all; connections end in order

Found by reading for races, each confirmed by a test that fails without its mend (mutants run one by one): - HostLinks kept an attempt's frame from its decision to the end of a late connect: `limit` was promised too long, and a drain, a purge, a client that left (where nothing may be called off) or the end of a keyed window changed nothing. The frame is made at its first byte now; what the list or a purge touches meanwhile goes back to the module as MOOT. Stream.finish writes what waits, shuts the sending side, reads and leaves what comes for 1 s or 256 KB; what came before is taken first. A connection with half a call is not idle, also with one byte of a wide token. The listener closes after what it has taken. - After a notice to end, requests are taken for 0.65 s instead of 0.9 s: with the longest deadline they end before SIGKILL. - Connections to all hosts together had no bound (two a host with 200 hosts is 400 of 300): an idle one elsewhere gives way. - Accepting rests 50 ms after a failure; with no descriptor left it span. - The command channel's waits are drawn by the configuration's seed: a fleet cut off together came back in one instant. - An address that can't be read threw out of a list event; it leaves its host out. No name is looked up.

--- a/src/main/java/brooklock/RouterApi.java
+++ b/src/main/java/brooklock/RouterApi.java
@@ -108,10 +108,11 @@
 
     /**
      * Send an attempt. {@code source} equal to {@code host} asks for no fill; {@code keep} 0 keeps nothing;
-     * {@code oldestNs} 0 takes the class's fresh time; {@code heldOnly}: the source gives only what it holds.
+     * {@code oldestNs} 0 takes the class's fresh time; {@code heldOnly}: the source gives only what it holds. An attempt
+     * whose first byte has not left {@code beginWithinNs} after the decision does not begin: it comes back as MOOT.
      */
     public record Get(long id, long host, long limitNs, long source, int keep, long oldestNs, boolean join,
-            boolean heldOnly) implements Action {
+            boolean heldOnly, long beginWithinNs) implements Action {
     }
 
     /** Final answer: declined, trying again is harmless. */
--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -370,15 +370,12 @@
 
     // Sends a request where the design says, or gives it up. Returns whether it was sent.
     private boolean launch(Req q) {
-        if (q.attempts.size() >= set.limits().tries()) {
+        if (q.attempts.size() >= Math.max(1, set.limits().tries())) {
             return false;
         }
-        Host target;
-        Host source;
-        if (q.cls.goesThrough() && set.direct()) {
-            target = origin;
-            source = target;
-        } else {
+        Host target = origin;
+        Host source = origin;
+        if (!q.cls.goesThrough() || !set.direct()) {
             target = pickEdge(q);
             source = q.cls.goesThrough() ? origin : pickSource(q);
             if (target == null && set.direct()) {
@@ -386,8 +383,7 @@
                 source = origin;
             }
         }
-        boolean asIs = target == null || q.cls.goesThrough();
-        Reach reach = asIs ? Reach.ORIGIN : reach(q, target);
+        Reach reach = target == null || q.cls.goesThrough() ? Reach.ORIGIN : reach(q, target);
         if (target != null && reach != Reach.NONE) {
             send(q, target, source == null || reach == Reach.CACHE ? target : source, reach);
             return true;
@@ -659,9 +655,10 @@
         if (source != target) {
             spend(source, q);
         }
-        out.add(new Get(q.ask.id(), target.entry.host(), Math.max(1, q.ask.deadlineNs() - now),
-                source.entry.host(), rankOf(q, cached), oldest(q), set.joins() && !q.cls.goesThrough(),
-                reach == Reach.PARENT && isParent(source)));
+        long left = Math.max(1, q.ask.deadlineNs() - now);
+        out.add(new Get(q.ask.id(), target.entry.host(), left, source.entry.host(), rankOf(q, cached),
+                oldest(q), set.joins() && !q.cls.goesThrough(), reach == Reach.PARENT && isParent(source),
+                q.mayHaveRun && q.cls.effect() == Effect.KEYED ? Math.min(left, windowLeft(q)) : left));
     }
 
     private void spend(Host h, Req q) {
@@ -871,11 +868,15 @@
         return switch (q.cls.effect()) {
             case SAFE -> true;
             case KEYED -> !q.mayHaveRun
-                    || q.cls.keyGroup() == Group.ALL && now - q.firstSentAt < q.cls.keyWindowNs();
+                    || q.cls.keyGroup() == Group.ALL && windowLeft(q) > 0;
             case UNSAFE -> !q.mayHaveRun;
         };
     }
 
+    private long windowLeft(Req q) {
+        return q.firstSentAt + q.cls.keyWindowNs() - now;
+    }
+
     private void alarm(Alarm alarm) {
         Req q = alarm == null ? null : requests.get(alarm.request());
         if (q == null || q.closed) {
--- a/src/main/java/brooklock/edge/Attempt.java
+++ b/src/main/java/brooklock/edge/Attempt.java
@@ -62,11 +62,11 @@
         call = mine;
     }
 
-    /** Rule 3, at the last moment: a connection may have been waited for while the host or the source left. */
+    /** At the last moment: a connection may have been waited for while the host or the source left, or for too long. */
     @Override
     public boolean mayGo() {
         return edge.book.ready(get.host()) && edge.book.ready(get.source()) && (first == 0 || edge.book.ready(first))
-                && !exchange.closed();
+                && !exchange.closed() && edge.clock.now() - sentAt <= get.beginWithinNs();
     }
 
     // ---- What the host answers
--- a/src/main/java/brooklock/net/Stream.java
+++ b/src/main/java/brooklock/net/Stream.java
@@ -31,8 +31,14 @@
         void ended(String why);
     }
 
+    // Bytes read and left after the sending side was shut; a peer that sends more is not waited for.
+    private static final long MOST_LEFT = 256 * 1024;
+
     private Taker taker;
     private boolean reading;
+    private Runnable over;
+    private boolean shut;
+    private long left;
 
     Stream(IoLoop loop, StreamConnection connection) {
         super(loop, connection);
@@ -69,9 +75,14 @@
         }
     }
 
+    /** Reads once what the system holds now and hands it to the taker; whether there was any. */
+    public boolean readNow() {
+        return !closed() && reading && readable();
+    }
+
     /** Writes; what the system does not take at once waits. */
     public void write(ByteBuffer... parts) {
-        if (closed) {
+        if (closed()) {
             return;
         }
         boolean first = output.empty();
@@ -95,48 +106,89 @@
 
     /** Calls {@link Taker#late} after so many nanoseconds, in place of any time set before. */
     public void deadline(long ns) {
-        if (!closed) {
+        if (!closed()) {
             watchdog.in(ns);
         }
     }
 
     /** Takes the deadline away. */
     public void noDeadline() {
-        watchdog.off();
+        if (!closed()) {
+            watchdog.off();
+        }
     }
 
-    /** Whether it has ended. */
+    /** Whether it has ended, or is ending in order: no byte goes to its taker any more. */
     public boolean closed() {
-        return closed;
+        return closed || over != null;
+    }
+
+    /**
+     * Ends it in order: what waits is written, then the sending side is shut, and what still comes is read and left until
+     * the peer has closed too. A close over unread bytes would reset the connection and take written answers with it.
+     *
+     * @param limitNs longest that it may take, ns
+     * @param ended called once its descriptor is free
+     */
+    public void finish(long limitNs, Runnable ended) {
+        if (closed()) {
+            return;
+        }
+        read(true);
+        watchdog.in(limitNs);
+        over = ended;
+        giveBuffer();
+        try {
+            shutOnceWritten();
+        } catch (IOException e) {
+            close();
+        }
+    }
+
+    private void shutOnceWritten() throws IOException {
+        if (!shut && output.empty()) {
+            shut = true;
+            connection.getSinkChannel().shutdownWrites();
+            connection.getSinkChannel().flush();
+        }
     }
 
     /** Ends it, whatever it is at. */
     public void close() {
-        end();
+        if (end() && over != null) {
+            over.run();
+        }
     }
 
     @Override
     void late() {
-        if (!closed) {
+        if (over != null) {
+            close();
+        } else if (!closed) {
             taker.late();
         }
     }
 
-    private void readable() {
+    private boolean readable() {
         if (closed || !reading) {
-            return;
+            return false;
         }
+        int n = 0;
         try {
-            int n = fill();
+            n = fill();
             if (n < 0) {
                 broken("closed by the peer");
-                return;
+                return false;
+            }
+            if (over != null) {
+                leave(n);
+                return false;
             }
             in.flip();
             if (n > 0) {
                 taker.bytes(in);
             }
-            if (!closed) {
+            if (!closed()) {
                 keepRest();
                 if (in != null && !in.hasRemaining()) {
                     broken("a whole buffer was left");
@@ -145,6 +197,15 @@
         } catch (IOException e) {
             broken(String.valueOf(e.getMessage()));
         }
+        return n > 0;
+    }
+
+    private void leave(int n) {
+        giveBuffer();
+        left += n;
+        if (left > MOST_LEFT) {
+            close();
+        }
     }
 
     private void writable() {
@@ -152,7 +213,10 @@
             return;
         }
         try {
-            if (flushed()) {
+            boolean all = flushed();
+            if (over != null) {
+                shutOnceWritten();
+            } else if (all) {
                 taker.allWritten();
             }
         } catch (IOException e) {
@@ -163,7 +227,9 @@
     }
 
     private void broken(String why) {
-        if (end()) {
+        if (over != null) {
+            close();
+        } else if (end()) {
             taker.ended(why);
         }
     }
--- a/src/main/java/brooklock/net/StreamListener.java
+++ b/src/main/java/brooklock/net/StreamListener.java
@@ -15,6 +15,8 @@
 public final class StreamListener implements Closeable {
     // Connections taken before other sockets have their turn.
     private static final int AT_ONCE = 64;
+    // Rest after an accept that failed, ns: with no descriptor left the socket stays ready, and trying at once would spin.
+    private static final long REST_NS = 50_000_000L;
 
     private final Net net;
     private final Consumer<Stream> taker;
@@ -56,10 +58,18 @@
                 c = n < AT_ONCE ? from.accept() : null;
             }
         } catch (IOException e) {
-            // The one connection is lost, or descriptors have run out; the next readiness tries again.
+            // The one connection is lost, or descriptors have run out.
+            from.suspendAccepts();
+            net.loop(0).after(REST_NS, from::resumeAccepts);
         }
     }
 
+    /** Takes what the system has accepted already, then stops listening; called on an I/O thread. */
+    public void finish() {
+        accept(channel);
+        close();
+    }
+
     /** Stops listening; its connections go on. */
     @Override
     public void close() {
--- a/src/main/java/brooklock/platform/ClientLink.java
+++ b/src/main/java/brooklock/platform/ClientLink.java
@@ -17,6 +17,8 @@
     private static final long MESSAGE_NS = 2_000_000_000L;
     // Time in which a client takes not one byte of what waits for it, ns.
     private static final long STALL_NS = 5_000_000_000L;
+    // Time for a client to close its side once ours is shut, ns; many round trips.
+    private static final long FINISH_NS = 1_000_000_000L;
     // Bytes that may wait for a client before no more calls are read from it.
     private static final long MOST_PENDING = 512 * 1024;
 
@@ -30,6 +32,7 @@
     private int wrong;
     private boolean spoke;
     private boolean stalls;
+    private boolean halfRead;
 
     ClientLink(Front front, Stream stream) {
         this.front = front;
@@ -41,8 +44,26 @@
         stream.start(this);
     }
 
+    /** Whether nothing is open here and no call is half read. */
     boolean idle() {
-        return open.isEmpty() && written();
+        return !stream.closed() && open.isEmpty() && written() && !halfRead;
+    }
+
+    /** Ends in order if nothing is open here even after what the system holds has been read; whether it does. */
+    boolean retire() {
+        while (idle() && stream.readNow()) {
+            // A call that has come is taken, and this one is not idle any more.
+        }
+        boolean idle = idle();
+        if (idle) {
+            finish();
+        }
+        return idle;
+    }
+
+    private void finish() {
+        front.finishes();
+        stream.finish(FINISH_NS, () -> front.finished(this));
     }
 
     boolean spoke() {
@@ -61,18 +82,20 @@
     @Override
     public void bytes(ByteBuffer in) {
         try {
-            for (RpcMessage m = decoder.next(in); m != null; m = decoder.next(in)) {
+            for (RpcMessage m = decoder.next(in); m != null && !stream.closed(); m = decoder.next(in)) {
                 spoke = true;
                 idleSince = System.nanoTime();
                 take(m);
             }
+            halfRead = decoder.within() || in.hasRemaining();
             takeFresh();
             if (!stream.closed()) {
                 deadline();
             }
         } catch (Malformed e) {
             front.log(e.getMessage());
-            close();
+            lapse();
+            finish();
         }
     }
 
@@ -80,7 +103,7 @@
         if (stalls) {
             return;
         }
-        if (decoder.within()) {
+        if (halfRead) {
             stream.deadline(MESSAGE_NS);
         } else if (spoke) {
             stream.noDeadline();
@@ -206,6 +229,10 @@
     void close() {
         stream.close();
         front.gone(this);
+        lapse();
+    }
+
+    private void lapse() {
         for (Job job : List.copyOf(open.values())) {
             front.engine().lapsed(job);
         }
--- a/src/main/java/brooklock/platform/ClientRequest.java
+++ b/src/main/java/brooklock/platform/ClientRequest.java
@@ -33,6 +33,11 @@
     record Form(int number, boolean keyed, boolean writes, long deadlineMs) {
     }
 
+    /** The object as a number. */
+    long objectId() {
+        return Long.parseUnsignedLong(object, 16);
+    }
+
     /** Reads a call; the exception says what is out of order. */
     static ClientRequest of(RpcMessage.Call call, Map<String, Form> classes) throws Malformed {
         Form form = classes.get(call.method());
--- a/src/main/java/brooklock/platform/CommandChannel.java
+++ b/src/main/java/brooklock/platform/CommandChannel.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -21,11 +22,16 @@
     // Something comes each second; without it for so long the connection is taken for dead, ns.
     private static final long SILENT_NS = 1_600_000_000L;
     // Wait before the next try, ns; doubled with each that failed, up to so much.
-    private static final long AGAIN_NS = 50_000_000L;
-    private static final long MOST_AGAIN_NS = 800_000_000L;
+    private static final long AGAIN_NS = 100_000_000L;
+    private static final long MOST_AGAIN_NS = 500_000_000L;
+    // A wait lasts between these parts of itself, drawn anew: what cuts one dispatcher off cuts off the whole fleet, which
+    // must not come back in one instant.
+    private static final double WAIT_FROM = 0.2;
+    private static final double WAIT_TO = 1.6;
 
     private final IoLoop loop;
     private final Consumer<Command> taker;
+    private final SplittableRandom random;
     private InetSocketAddress address;
     private long cursor;
     private Dial dial;
@@ -34,10 +40,11 @@
     private long again = AGAIN_NS;
     private int round;
 
-    CommandChannel(IoLoop loop, InetSocketAddress address, long cursor, Consumer<Command> taker) {
+    CommandChannel(IoLoop loop, InetSocketAddress address, long cursor, long seed, Consumer<Command> taker) {
         this.loop = loop;
         this.address = address;
         this.cursor = cursor;
+        random = new SplittableRandom(seed);
         this.taker = taker;
     }
 
@@ -51,15 +58,16 @@
         if (!next.equals(address)) {
             address = next;
             again = AGAIN_NS;
-            connect();
+            end();
+            connectLater();
         }
     }
 
     /** Connects, in place of any connection there is. */
     void connect() {
         end();
-        int mine = ++round;
-        dial = Dial.to(loop, address, CONNECT_NS, s -> opened(s), why -> retry(mine, why));
+        round++;
+        dial = Dial.to(loop, address, CONNECT_NS, this::opened, this::retry);
     }
 
     private void end() {
@@ -80,9 +88,14 @@
         s.write(ByteBuffer.wrap(("resume " + cursor + "\n").getBytes(StandardCharsets.US_ASCII)));
     }
 
-    private void retry(int mine, String why) {
+    private void retry(String why) {
         LOG.info("command channel at {}: {}", address, why);
-        loop.after(again, () -> {
+        connectLater();
+    }
+
+    private void connectLater() {
+        int mine = ++round;
+        loop.after((long) (again * random.nextDouble(WAIT_FROM, WAIT_TO)), () -> {
             if (mine == round) {
                 connect();
             }
@@ -118,7 +131,7 @@
 
     private void restart(String why) {
         stream.close();
-        retry(round, why);
+        retry(why);
     }
 
     @Override
@@ -128,6 +141,6 @@
 
     @Override
     public void ended(String why) {
-        retry(round, why);
+        retry(why);
     }
 }
--- a/src/main/java/brooklock/platform/Engine.java
+++ b/src/main/java/brooklock/platform/Engine.java
@@ -91,11 +91,16 @@
         open++;
         taken.accept(job);
         vitals.taken();
-        tell(new RouterApi.Request(job.number, ask.cls(), Long.parseUnsignedLong(ask.object(), 16), ask.part(),
+        tell(new RouterApi.Request(job.number, ask.cls(), ask.objectId(), ask.part(),
                 ask.group(), ask.sizeKb(), ask.repeat(), job.deadlineNs));
         return true;
     }
 
+    /** The module's time, ns. */
+    long now() {
+        return clock.now();
+    }
+
     /** Whether a request of this id has no final answer yet. */
     boolean isOpen(long id) {
         return byId.containsKey(id);
@@ -221,13 +226,23 @@
             return;
         }
         due.add(new Due(Math.min(job.deadlineNs, t.sentAtNs + a.limitNs()), () -> stop(t, Outcome.TIMEOUT)));
+        if (a.beginWithinNs() < a.limitNs()) {
+            due.add(new Due(t.sentAtNs + a.beginWithinNs(), () -> stopUnlessBegun(t)));
+        }
         carrier.send(t);
     }
 
+    private void stopUnlessBegun(Try t) {
+        if (t.link == null) {
+            stop(t, Outcome.MOOT);
+        }
+    }
+
+    // One that still waited for a connection never ran.
     private void stop(Try t, Outcome outcome) {
         if (!t.over) {
             HostLink link = t.link;
-            ended(t, outcome, Note.NONE, 0, null);
+            ended(t, link == null ? Outcome.MOOT : outcome, Note.NONE, 0, null);
             if (link != null) {
                 link.drop(t);
             } else {
--- a/src/main/java/brooklock/platform/Front.java
+++ b/src/main/java/brooklock/platform/Front.java
@@ -21,12 +21,18 @@
     // Time without a call after which a connection is closed, ns; clients close theirs after 4 s.
     private static final long IDLE_NS = 8_000_000_000L;
     private static final long SWEEP_NS = 500_000_000L;
+    // Time between looks at whether all has been answered, at the end, ns.
+    static final long LOOK_NS = 10_000_000L;
+    // Connections that may be ending in order above the bound: their descriptors are counted in Node's.
+    static final int MOST_FINISHING = 16;
 
     private final IoLoop loop;
     private final Map<String, ClientRequest.Form> classes;
     private final int most;
     private final Engine engine;
     private final Set<ClientLink> links = new LinkedHashSet<>();
+    private StreamListener listener;
+    private int finishing;
     private boolean well = true;
     private boolean closing;
 
@@ -44,12 +50,13 @@
 
     StreamListener open(Net net, InetSocketAddress at) throws IOException {
         loop.execute(this::sweep);
-        return StreamListener.open(net, at, BACKLOG, this::accept);
+        listener = StreamListener.open(net, at, BACKLOG, this::accept);
+        return listener;
     }
 
     /** Takes a connection. */
     void accept(Stream s) {
-        if (links.size() >= most && !makeRoom()) {
+        if (links.size() - finishing >= most && !makeRoom()) {
             s.close();
             return;
         }
@@ -62,24 +69,34 @@
     private boolean makeRoom() {
         ClientLink idlest = null;
         for (ClientLink l : links) {
+            if (!l.idle()) {
+                continue;
+            }
             if (!l.spoke()) {
                 l.close();
                 return true;
             }
-            idlest = l.idle() && (idlest == null || l.idleSince() - idlest.idleSince() < 0) ? l : idlest;
-        }
-        if (idlest != null) {
-            idlest.close();
+            idlest = idlest == null || l.idleSince() - idlest.idleSince() < 0 ? l : idlest;
         }
-        return idlest != null;
+        return idlest != null && finishing < MOST_FINISHING && idlest.retire();
     }
 
     private void sweep() {
         long before = System.nanoTime() - IDLE_NS;
-        List.copyOf(links).stream().filter(l -> l.idle() && l.idleSince() - before < 0).forEach(ClientLink::close);
+        List.copyOf(links).stream().filter(l -> l.idle() && l.idleSince() - before < 0).forEach(ClientLink::retire);
         loop.after(SWEEP_NS, this::sweep);
     }
 
+    /** A connection is ending in order, and holds its descriptor a while yet. */
+    void finishes() {
+        finishing++;
+    }
+
+    void finished(ClientLink l) {
+        finishing--;
+        gone(l);
+    }
+
     void gone(ClientLink l) {
         links.remove(l);
     }
@@ -107,14 +124,27 @@
         well = false;
     }
 
-    /** New requests are refused from now on. */
-    void refuse() {
+    /**
+     * Refuses new requests from now on, listens no more and ends each connection in order once all of it is answered.
+     *
+     * @param ended called when the last has ended
+     */
+    void end(Runnable ended) {
         closing = true;
+        // Connections that the system has taken are on their way to this thread yet.
+        loop.after(LOOK_NS, () -> {
+            listener.finish();
+            endIdle(ended);
+        });
     }
 
-    /** Whether every answer has been taken by the system. */
-    boolean written() {
-        return links.stream().allMatch(ClientLink::written);
+    private void endIdle(Runnable ended) {
+        List.copyOf(links).forEach(ClientLink::retire);
+        if (links.isEmpty()) {
+            ended.run();
+        } else {
+            loop.after(LOOK_NS, () -> endIdle(ended));
+        }
     }
 
     int connections() {
--- a/src/main/java/brooklock/platform/HostLink.java
+++ b/src/main/java/brooklock/platform/HostLink.java
@@ -47,6 +47,10 @@
         return out;
     }
 
+    boolean closed() {
+        return stream.closed();
+    }
+
     int load() {
         return open.size();
     }
@@ -55,13 +59,15 @@
         return idleSince;
     }
 
-    boolean usable(long id, int streams) {
+    boolean usable(Job job, int streams) {
+        long id = job.ask.id();
         return !stream.closed() && open.size() < streams && !open.containsKey(id) && !quit.contains(id)
-                && quit.size() < MOST_QUIT;
+                && quit.size() < MOST_QUIT && !job.used.contains(this);
     }
 
     void send(Try t, ByteBuffer frame) {
         t.link = this;
+        t.job.used.add(this);
         open.put(t.job.ask.id(), t);
         stream.write(frame);
     }
@@ -117,8 +123,8 @@
             case Frame.MOOT -> Outcome.MOOT;
             default -> throw new Malformed("code " + f.code() + " answers no request");
         };
-        if (f.code() == Frame.SAME && t.job.ask.tag() == null) {
-            throw new Malformed("the client's copy confirmed where it has none");
+        if (f.code() == Frame.SAME && (t.job.ask.tag() == null || !t.job.ask.tag().equals(f.fields().get("rev")))) {
+            throw new Malformed("a copy confirmed that is not the client's");
         }
         Note note = WORDS.getOrDefault(f.fields().getOrDefault("tell", ""), Note.NONE);
         long waited = waited(f.fields().get("fill"));
--- a/src/main/java/brooklock/platform/HostLinks.java
+++ b/src/main/java/brooklock/platform/HostLinks.java
@@ -9,7 +9,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import java.util.function.IntSupplier;
+import java.util.function.Function;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -22,15 +23,21 @@
     // Attempts that may wait for a connection; further ones find none.
     private static final int MOST_WAITING = 1024;
 
-    private record Waiting(Try attempt, ByteBuffer frame) {
-    }
-
     /** How connections are made. */
     interface Dialer {
         /** Begins one; calls either of the two later, unless what it gives is run before, which gives it up. */
         Runnable dial(InetSocketAddress address, Consumer<Stream> opened, Consumer<String> failed);
     }
 
+    /** Room for connections among those to all hosts. */
+    interface Room {
+        /** Whether a host with so many may have one more. */
+        boolean has(int connections);
+
+        /** Makes room for one more. */
+        void make();
+    }
+
     /** What an attempt comes to. */
     interface Taker {
         void ended(Try t, Outcome outcome, Note note, long waitedNs, Frame answer);
@@ -40,11 +47,12 @@
     private final Dialer dialer;
     private final InetSocketAddress address;
     private final int streams;
-    private final IntSupplier most;
+    private final Room room;
+    private final Function<Try, ByteBuffer> frames;
     private final Taker taker;
     private final List<HostLink> links = new ArrayList<>();
     private final ArrayDeque<HostLink> idle = new ArrayDeque<>();
-    private final ArrayDeque<Waiting> line = new ArrayDeque<>();
+    private final ArrayDeque<Try> line = new ArrayDeque<>();
     private final List<Runnable> dials = new ArrayList<>();
     private boolean left;
 
@@ -53,44 +61,58 @@
      *
      * @param dialer makes connections
      * @param streams requests that one connection may carry
-     * @param most connections that may be open
+     * @param room says whether one more connection may be opened
+     * @param frames makes an attempt's frame as it is written, or null where it must not begin any more
      */
-    HostLinks(String name, Dialer dialer, InetSocketAddress address, int streams, IntSupplier most, Taker taker) {
+    HostLinks(String name, Dialer dialer, InetSocketAddress address, int streams, Room room,
+            Function<Try, ByteBuffer> frames, Taker taker) {
         this.name = name;
         this.dialer = dialer;
         this.address = address;
         this.streams = streams;
-        this.most = most;
+        this.room = room;
+        this.frames = frames;
         this.taker = taker;
     }
 
     /** Sends an attempt on a connection that is free, on a new one, or where there may be no more, on the least busy. */
-    void send(Try t, ByteBuffer frame) {
+    void send(Try t) {
         HostLink free = pick(t);
         if (free != null) {
-            free.send(t, frame);
+            begin(t, free);
         } else if (left || line.size() >= MOST_WAITING) {
             taker.ended(t, Outcome.CONNECT_FAILED, Note.NONE, 0, null);
         } else {
-            line.add(new Waiting(t, frame));
+            line.add(t);
             dialMore();
         }
     }
 
+    // What is written is true at its first byte: an attempt that waited too long, or whose grounds have changed since it
+    // was decided, goes back to the module, which is told that it never ran.
+    private boolean begin(Try t, HostLink on) {
+        ByteBuffer frame = frames.apply(t);
+        if (frame == null) {
+            taker.ended(t, Outcome.MOOT, Note.NONE, 0, null);
+            return false;
+        }
+        on.send(t, frame);
+        return true;
+    }
+
     private HostLink pick(Try t) {
-        long id = t.job.ask.id();
         for (HostLink l : idle) {
-            if (l.usable(id, streams)) {
+            if (l.usable(t.job, streams)) {
                 idle.remove(l);
                 return l;
             }
         }
-        if (links.size() + dials.size() < most.getAsInt()) {
+        if (room.has(connections())) {
             return null;
         }
         HostLink best = null;
         for (HostLink l : links) {
-            if (l.usable(id, streams) && (best == null || l.load() < best.load())) {
+            if (l.usable(t.job, streams) && (best == null || l.load() < best.load())) {
                 best = l;
             }
         }
@@ -98,7 +120,8 @@
     }
 
     private void dialMore() {
-        while (dials.size() < line.size() && links.size() + dials.size() < Math.max(1, most.getAsInt())) {
+        while (dials.size() < line.size() && room.has(connections())) {
+            room.make();
             Runnable[] self = new Runnable[1];
             self[0] = dialer.dial(address, s -> opened(self[0], s), why -> failed(self[0], why));
             dials.add(self[0]);
@@ -114,36 +137,47 @@
 
     private void failed(Runnable d, String why) {
         dials.remove(d);
-        Waiting first = line.poll();
+        Try first = line.poll();
         log(why, line.size() + 1);
         if (first != null) {
-            taker.ended(first.attempt(), Outcome.CONNECT_FAILED, Note.NONE, 0, null);
+            taker.ended(first, Outcome.CONNECT_FAILED, Note.NONE, 0, null);
         }
         dialMore();
     }
 
     /** A connection has nothing to do. */
     void idle(HostLink l) {
-        for (Waiting w = line.peek(); w != null; w = line.peek()) {
-            if (!l.usable(w.attempt().job.ask.id(), streams)) {
-                break;
-            }
+        for (Try t = line.peek(); t != null && l.usable(t.job, streams); t = line.peek()) {
             line.poll();
-            if (!w.attempt().over) {
-                l.send(w.attempt(), w.frame());
+            if (begin(t, l)) {
                 return;
             }
         }
         if (left) {
             l.close();
-        } else {
+        } else if (l.load() == 0 && !l.closed()) {
             idle.addFirst(l);
         }
     }
 
+    /** Attempts that wait for a connection. */
+    List<Try> waiting() {
+        return List.copyOf(line);
+    }
+
+    /** Connections, also those on their way. */
+    int connections() {
+        return links.size() + dials.size();
+    }
+
+    /** The connection that has been idle for longest, or null. */
+    HostLink idlest() {
+        return idle.peekLast();
+    }
+
     /** An attempt that waits in line is over. */
     void leaveLine(Try t) {
-        line.removeIf(w -> w.attempt() == t);
+        line.remove(t);
     }
 
     void gone(HostLink l) {
@@ -168,8 +202,8 @@
         left = true;
         dials.forEach(Runnable::run);
         dials.clear();
-        for (Waiting w = line.poll(); w != null; w = line.poll()) {
-            taker.ended(w.attempt(), Outcome.CONNECT_FAILED, Note.NONE, 0, null);
+        for (Try t = line.poll(); t != null; t = line.poll()) {
+            taker.ended(t, Outcome.CONNECT_FAILED, Note.NONE, 0, null);
         }
         for (HostLink l = idle.peek(); l != null; l = idle.peek()) {
             l.close();
@@ -177,13 +211,13 @@
     }
 
     /** Whether these lead to an address. */
-    boolean isAt(String where) {
-        return address.equals(NodeConfig.address(where));
+    boolean isAt(InetSocketAddress where) {
+        return address.equals(where);
     }
 
     /** Connections, attempts on them, attempts that wait for one. */
     String summary() {
-        return name + "=" + (links.size() + dials.size()) + "/" + links.stream().mapToInt(HostLink::load).sum() + "/"
+        return name + "=" + connections() + "/" + links.stream().mapToInt(HostLink::load).sum() + "/"
                 + line.size();
     }
 
--- a/src/main/java/brooklock/platform/HostTable.java
+++ b/src/main/java/brooklock/platform/HostTable.java
@@ -4,6 +4,7 @@
 import brooklock.RouterApi.HostList;
 import brooklock.RouterApi.HostState;
 import brooklock.RouterApi.ListKind;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -23,7 +24,7 @@
     static final class Known {
         final String name;
         final long number;
-        String address;
+        InetSocketAddress address;
         HostEntry entry;
         private long sinceMs;
 
@@ -76,13 +77,14 @@
             default -> null;
         };
         Known k = byName.get(e.name());
-        int zone = zones.indexOf(e.zone());
+        int zone = zones.isEmpty() ? 0 : zones.indexOf(e.zone());
         int kind = kinds.indexOf(e.type());
-        if (state == HostState.GONE && k != null && (zone < 0 || kind < 0 || e.address().isEmpty())) {
+        InetSocketAddress address = addressOf(e);
+        if (state == HostState.GONE && k != null && (zone < 0 || kind < 0 || address == null)) {
             k.entry = gone(k.entry);
             return k.entry;
         }
-        if (state == null || zone < 0 || kind < 0 || e.address().isEmpty()) {
+        if (state == null || zone < 0 || kind < 0 || address == null) {
             return null;
         }
         if (k == null) {
@@ -93,11 +95,20 @@
         long started = e.sinceMs() == 0 ? 0 : k.entry != null && k.sinceMs == e.sinceMs() ? k.entry.startedAtNs()
                 : moduleTime.applyAsLong(e.sinceMs());
         k.sinceMs = e.sinceMs();
-        k.address = e.address();
+        k.address = address;
         k.entry = new HostEntry(k.number, zone, kind, state, e.weight(), started);
         return k.entry;
     }
 
+    // One entry that can't be read must not take the others of its list with it.
+    private static InetSocketAddress addressOf(Command.Endpoint e) {
+        try {
+            return NodeConfig.address(e.address());
+        } catch (IllegalArgumentException none) {
+            return null;
+        }
+    }
+
     private static HostEntry gone(HostEntry e) {
         return new HostEntry(e.host(), e.zone(), e.kind(), HostState.GONE, e.weight(), e.startedAtNs());
     }
--- a/src/main/java/brooklock/platform/Hosts.java
+++ b/src/main/java/brooklock/platform/Hosts.java
@@ -7,12 +7,15 @@
 import brooklock.net.IoLoop;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.function.Predicate;
 
 /** The cache hosts, parents and the origin: attempts as frames on their connections. Belongs to the I/O thread. */
-final class Hosts implements Engine.Carrier {
+final class Hosts implements Engine.Carrier, HostLinks.Room {
     // Connections to one host however many descriptors there are, and however few.
     private static final int MOST_EACH = 48;
     private static final int LEAST_EACH = 2;
@@ -77,12 +80,37 @@
             }
         }
         engine.tell(list);
+        handBack(t -> !standing(t));
+    }
+
+    /** Takes a purge that the module has been told of. */
+    void purged(long object, int group) {
+        handBack(t -> object != 0 ? object == t.job.ask.objectId() : group == t.job.ask.group());
+    }
+
+    // What was decided before the news and has not begun is decided anew.
+    private void handBack(Predicate<Try> touched) {
+        for (HostLinks l : List.copyOf(links.values())) {
+            for (Try t : l.waiting()) {
+                if (touched.test(t)) {
+                    l.leaveLine(t);
+                    engine.ended(t, Outcome.MOOT, Note.NONE, 0, null);
+                }
+            }
+        }
+    }
+
+    // Whether the list says of its host and its source what it said when the attempt was decided.
+    private boolean standing(Try t) {
+        HostTable.Known host = table.get(t.get.host());
+        HostTable.Known source = table.get(t.get.source());
+        return host != null && source != null && t.host.equals(host.entry) && t.source.equals(source.entry);
     }
 
     /** Closes what is open, whatever it is at. */
     void close() {
         closed = true;
-        links.values().forEach(HostLinks::leave);
+        List.copyOf(links.values()).forEach(HostLinks::leave);
     }
 
     /** Connections to each host and attempts on them, for the log. */
@@ -101,19 +129,47 @@
             engine.ended(t, Outcome.CONNECT_FAILED, Note.NONE, 0, null);
             return;
         }
-        links.computeIfAbsent(host.number, n -> new HostLinks(host.name, dialer, NodeConfig.address(host.address), streams,
-                 this::mostEach, engine::ended)).send(t, frame(t, host, source));
+        t.host = host.entry;
+        t.source = source.entry;
+        links.computeIfAbsent(host.number, n -> new HostLinks(host.name, dialer, host.address, streams,
+                this, this::frame, engine::ended)).send(t);
+    }
+
+    @Override
+    public boolean has(int connections) {
+        return connections < Math.max(LEAST_EACH, Math.min(MOST_EACH, descriptors / Math.max(1, table.present())))
+                && (connections() < descriptors || idlest() != null);
+    }
+
+    @Override
+    public void make() {
+        if (connections() >= descriptors) {
+            idlest().close();
+        }
     }
 
-    private int mostEach() {
-        return Math.max(LEAST_EACH, Math.min(MOST_EACH, descriptors / Math.max(1, table.present())));
+    private int connections() {
+        return links.values().stream().mapToInt(HostLinks::connections).sum();
+    }
+
+    private HostLink idlest() {
+        return links.values().stream().map(HostLinks::idlest).filter(Objects::nonNull)
+                .min(Comparator.comparingLong(HostLink::idleSince)).orElse(null);
+    }
+
+    private ByteBuffer frame(Try t) {
+        long waitedNs = engine.now() - t.sentAtNs;
+        if (t.over || t.job.closed || waitedNs > t.get.beginWithinNs() || !standing(t)) {
+            return null;
+        }
+        return frame(t, table.get(t.get.host()), table.get(t.get.source()), t.get.limitNs() - waitedNs);
     }
 
-    private static ByteBuffer frame(Try t, HostTable.Known host, HostTable.Known source) {
+    private static ByteBuffer frame(Try t, HostTable.Known host, HostTable.Known source, long limitNs) {
         ClientRequest ask = t.job.ask;
         Get get = t.get;
         StringBuilder f = new StringBuilder(160).append("cls=").append(ask.name()).append(",item=").append(ask.object())
-                .append(",chunk=").append(ask.part()).append(",limit=").append(Math.max(1, get.limitNs() / 1_000_000));
+                .append(",chunk=").append(ask.part()).append(",limit=").append(Math.max(1, limitNs / 1_000_000));
         if (ask.key() != null) {
             f.append(",nonce=").append(ask.key());
         }
--- a/src/main/java/brooklock/platform/Job.java
+++ b/src/main/java/brooklock/platform/Job.java
@@ -12,6 +12,8 @@
     final ClientLink client;
     final long message;
     final List<Try> tries = new ArrayList<>(2);
+    /** Connections that an attempt was written to: a second answer of an earlier one must not be taken for a later one's. */
+    final List<HostLink> used = new ArrayList<>(1);
     boolean closed;
     int open;
 
--- a/src/main/java/brooklock/platform/Node.java
+++ b/src/main/java/brooklock/platform/Node.java
@@ -22,9 +22,9 @@
     private static final int OWN_DESCRIPTORS = 56;
     // Part of the rest that clients may hold; the protocol lets them have a third of all.
     private static final double CLIENTS = 0.5;
-    // After a notice to end, requests are taken for so long, ns: clients are told of it some time later.
-    private static final long LEAVING_NS = 900_000_000L;
-    private static final long LOOK_NS = 20_000_000L;
+    // After a notice to end, requests are taken for so long, ns. Clients send some for 0.6 s more, and what is taken has to
+    // end before the platform kills the process, the longest deadline and 0.7 s after the notice.
+    private static final long LEAVING_NS = 650_000_000L;
     // A configuration that can't be read is read again so often, after this time each, ns.
     private static final int READ_AGAIN = 20;
     private static final long VITALS_NS = 1_000_000_000L;
@@ -44,14 +44,14 @@
         this.file = file;
         this.net = net;
         loop = net.loop(0);
-        int room = Math.max(16, config.sockets() - OWN_DESCRIPTORS);
+        int room = Math.max(4 * Front.MOST_FINISHING, config.sockets() - OWN_DESCRIPTORS);
         int clients = (int) (room * CLIENTS);
         hosts = new Hosts(loop, new HostTable(config.zones(), config.kinds(), clock::ofWall), config, room - clients,
                 (address, opened, failed) -> Dial.to(loop, address, config.settings().limits().connectTimeoutNs(), opened,
                         failed)::giveUp);
         engine = new Engine(Decider.rules(config.settings()), clock, loop, hosts);
-        front = new Front(loop, config.classes(), clients, engine);
-        channel = new CommandChannel(loop, config.channel(), config.cursor(), this::command);
+        front = new Front(loop, config.classes(), clients - Front.MOST_FINISHING, engine);
+        channel = new CommandChannel(loop, config.channel(), config.cursor(), config.seed(), this::command);
         loop.execute(() -> begin(config));
         listener = front.open(net, config.listen());
     }
@@ -92,6 +92,7 @@
         } else if (c instanceof Command.Drop d) {
             long now = clock.now();
             engine.tell(new RouterApi.Purged(d.object(), d.group(), now - clock.ofWall(d.whenMs())));
+            hosts.purged(d.object(), d.group());
         }
     }
 
@@ -122,21 +123,10 @@
     public void drain() throws InterruptedException {
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(front::leave);
-        loop.after(LEAVING_NS, () -> {
-            front.refuse();
-            whenIdle(done::countDown);
-        });
+        loop.after(LEAVING_NS, () -> front.end(done::countDown));
         done.await();
     }
 
-    private void whenIdle(Runnable then) {
-        if (engine.open() == 0 && front.written()) {
-            then.run();
-        } else {
-            loop.after(LOOK_NS, () -> whenIdle(then));
-        }
-    }
-
     @Override
     public void close() throws IOException {
         listener.close();
--- a/src/main/java/brooklock/platform/Practice.java
+++ b/src/main/java/brooklock/platform/Practice.java
@@ -31,6 +31,8 @@
     private static final long MOST_NS = 1_500_000_000L;
     private static final long WAIT_NS = 1_000_000L;
     private static final int BYTES = 20_000;
+    // Hosts in its configuration; each may have a connection for each call of a round.
+    private static final int HOSTS = 5;
 
     private final IoLoop loop;
     private final Hosts hosts;
@@ -48,7 +50,7 @@
         this.config = config;
         Clock clock = new Clock();
         HostTable table = new HostTable(config.zones(), config.kinds(), clock::ofWall);
-        hosts = new Hosts(loop, table, config, 0, this::dial);
+        hosts = new Hosts(loop, table, config, CALLS * HOSTS, this::dial);
         engine = new Engine(Decider.rules(config.settings()), clock, loop, hosts);
         front = new Front(loop, config.classes(), 1, engine);
     }
--- a/src/main/java/brooklock/platform/Try.java
+++ b/src/main/java/brooklock/platform/Try.java
@@ -1,6 +1,7 @@
 package brooklock.platform;
 
 import brooklock.RouterApi.Get;
+import brooklock.RouterApi.HostEntry;
 
 /** One attempt at a host. */
 final class Try {
@@ -8,6 +9,9 @@
     final int attempt;
     final Get get;
     final long sentAtNs;
+    /** What the list said of its host and its source when it was decided. */
+    HostEntry host;
+    HostEntry source;
     /** The connection it is on; null before it has one. */
     HostLink link;
     boolean over;
--- a/src/main/java/brooklock/rehearsal/InformedRouter.java
+++ b/src/main/java/brooklock/rehearsal/InformedRouter.java
@@ -220,7 +220,7 @@
             }
         }
         return host == null || least >= 1e17 ? null : new Get(q.ask.id(), host.host(), left, source.host(), keep, oldest,
-                !through, false);
+                !through, false, left);
     }
 
     private double originCost(Req q) {
--- a/src/main/java/brooklock/rehearsal/RandomRouter.java
+++ b/src/main/java/brooklock/rehearsal/RandomRouter.java
@@ -74,7 +74,8 @@
             return;
         }
         long source = through ? origin.host() : (parent == null ? origin : parent).host();
-        out.add(new Get(r.id(), host.host(), r.deadlineNs() - now, source, through ? 0 : 2, 0, true, false));
+        out.add(new Get(r.id(), host.host(), r.deadlineNs() - now, source, through ? 0 : 2, 0, true, false,
+                r.deadlineNs() - now));
     }
 
     private HostEntry any(int kind, int zone) {
--- a/src/test/java/brooklock/bench/WireTest.java
+++ b/src/test/java/brooklock/bench/WireTest.java
@@ -117,7 +117,7 @@
     @Test
     void actionsAreWrittenAsTheWireAsks() {
         WireCodec.Writer w = new WireCodec.Writer();
-        w.action(3, new RouterApi.Get(0x0ef63e5d3a91c4L, 0x03124a07, 60, 0x2c9011f2L, 2, 7, true, true));
+        w.action(3, new RouterApi.Get(0x0ef63e5d3a91c4L, 0x03124a07, 60, 0x2c9011f2L, 2, 7, true, true, 60));
         w.action(3, new RouterApi.SetTimer(0x4d, 0x0213362490L));
         ByteBuffer b = ByteBuffer.wrap(w.frame()).order(ByteOrder.LITTLE_ENDIAN);
         assertEquals(b.capacity() - 4, b.getInt(0));
--- /dev/null
+++ b/src/test/java/brooklock/platform/ClosingTest.java
@@ -0,0 +1,161 @@
+package brooklock.platform;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import brooklock.RouterApi.Outcome;
+import brooklock.RouterApi.Refuse;
+import brooklock.RouterApi.Request;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.Arrays;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Bytes that come in the very moment in which a connection to a client is shut or closed. */
+@Timeout(60)
+class ClosingTest {
+    private Rig rig;
+    private Socket client;
+    private final CountDownLatch ended = new CountDownLatch(1);
+
+    @BeforeEach
+    void begin() throws Exception {
+        rig = new Rig(64, (e, out) -> {
+            if (e instanceof Request r) {
+                out.add(Rig.get(r.id(), "a", 2000, 2000));
+            } else if (e instanceof brooklock.RouterApi.Done d && d.outcome() != Outcome.OK) {
+                out.add(new Refuse(d.id(), 0));
+            }
+        });
+        rig.list("active", "a");
+        client = new Socket(rig.address.getAddress(), rig.address.getPort());
+        client.setSoTimeout(20_000);
+        client.setTcpNoDelay(true);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        client.close();
+        rig.close();
+    }
+
+    private static byte[] call(long number, long id) {
+        return Caller.call(number, Configs.READS, Caller.fields(id, 0x7f, 2000), new byte[0]);
+    }
+
+    private static final byte[] WELL = Caller.call(1, "isWell", java.util.Map.of(), null);
+
+    private void isKnown() throws IOException {
+        client.getOutputStream().write(WELL);
+        assertTrue(client.getInputStream().read() >= 0);
+        client.getInputStream().readNBytes(client.getInputStream().available());
+    }
+
+    private boolean isListening() {
+        try (Socket s = new Socket(rig.address.getAddress(), rig.address.getPort())) {
+            return s.isConnected();
+        } catch (IOException refused) {
+            return false;
+        }
+    }
+
+    private void endsOnTheThread() {
+        rig.loop.execute(() -> rig.front.end(ended::countDown));
+    }
+
+    @Test
+    void aCallThatLiesUnreadWhenTheEndComesIsAnswered() throws Exception {
+        isKnown();
+        endsOnTheThread();
+        Runnable free = rig.hold();
+        client.getOutputStream().write(call(2, 0x21));
+        // Held until the moment in which idle connections are ended has come: it does so before it looks at sockets again.
+        for (long from = System.nanoTime(); System.nanoTime() - from < 2 * Front.LOOK_NS;) {
+            Thread.onSpinWait();
+        }
+        free.run();
+        byte[] answer = client.getInputStream().readAllBytes();
+        assertTrue(new String(answer, java.nio.charset.StandardCharsets.ISO_8859_1).contains("Overloaded"));
+        client.close();
+        assertTrue(ended.await(20, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void aConnectionThatTheSystemHasTakenIsServedBeforeTheListenerCloses() throws Exception {
+        Runnable free = rig.hold();
+        try (Socket late = new Socket(rig.address.getAddress(), rig.address.getPort())) {
+            late.setSoTimeout(20_000);
+            late.getOutputStream().write(call(1, 0x22));
+            endsOnTheThread();
+            free.run();
+            byte[] answer = late.getInputStream().readAllBytes();
+            assertTrue(new String(answer, java.nio.charset.StandardCharsets.ISO_8859_1).contains("Overloaded"));
+        }
+    }
+
+    @Test
+    void whatComesAfterTheShutdownIsNeverSentOnAndResetsNothing() throws Exception {
+        isKnown();
+        endsOnTheThread();
+        assertEquals(-1, client.getInputStream().read());
+        client.getOutputStream().write(call(2, 0x23));
+        client.getOutputStream().write(call(3, 0x24));
+        assertEquals(-1, client.getInputStream().read());
+        client.shutdownOutput();
+        assertTrue(ended.await(20, TimeUnit.SECONDS));
+        assertTrue(rig.seen.stream().noneMatch(Request.class::isInstance));
+    }
+
+    @Test
+    void aCallThatIsHalfReadKeepsItsConnectionOpenAtTheEnd() throws Exception {
+        isKnown();
+        byte[] call = call(2, 0x25);
+        // One byte of a token that has more: nothing of it has been taken yet.
+        byte[] wide = Caller.join(new byte[] {(byte) 0xdc, 0, 4}, Arrays.copyOfRange(call, 1, call.length));
+        client.getOutputStream().write(wide, 0, 1);
+        endsOnTheThread();
+        // The listener closes in the same breath in which idle connections are ended.
+        while (isListening()) {
+            Thread.onSpinWait();
+        }
+        rig.on(() -> null);
+        client.getOutputStream().write(wide, 1, wide.length - 1);
+        assertTrue(new String(client.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.ISO_8859_1)
+                .contains("Overloaded"));
+    }
+
+    @Test
+    void whatIsTakenIsAnsweredBeforeTheSendingSideIsShut() throws Exception {
+        client.getOutputStream().write(call(1, 0x26));
+        Rig.Peer host = rig.open(rig.dialled());
+        assertEquals(0x26, host.asked().id());
+        endsOnTheThread();
+        rig.on(() -> null);
+        host.answers(Frame.OK, 0x26, "rev=1");
+        byte[] answer = client.getInputStream().readAllBytes();
+        assertArrayEquals(new byte[] {(byte) 0x94, 1, 1, (byte) 0xc0}, Arrays.copyOf(answer, 4));
+    }
+
+    @Test
+    void aCloseOverUnreadBytesTakesNoAnswerWithIt() throws Exception {
+        client.getOutputStream().write(call(1, 0x27));
+        Rig.Peer host = rig.open(rig.dialled());
+        host.asked();
+        host.answers(Frame.FULL, 0x27, "");
+        rig.event(brooklock.RouterApi.Done.class);
+        Runnable free = rig.hold();
+        byte[] noise = new byte[100_000];
+        Arrays.fill(noise, (byte) 0xc1);
+        client.getOutputStream().write(noise);
+        free.run();
+        // A reset would throw here, or bring less.
+        byte[] answer = client.getInputStream().readAllBytes();
+        assertTrue(new String(answer, java.nio.charset.StandardCharsets.ISO_8859_1).contains("Overloaded"));
+    }
+}
--- a/src/test/java/brooklock/rehearsal/RehearsalTest.java
+++ b/src/test/java/brooklock/rehearsal/RehearsalTest.java
@@ -339,7 +339,7 @@
             @Override
             protected void action(Action a, List<Action> out) {
                 out.add(cold != 0 && a instanceof Get g && g.source() != g.host() ? new Get(g.id(), cold, g.limitNs(),
-                        g.source(), g.keep(), g.oldestNs(), g.join(), g.heldOnly()) : a);
+                        g.source(), g.keep(), g.oldestNs(), g.join(), g.heldOnly(), g.beginWithinNs()) : a);
             }
         }), line -> { });
         assertFalse(verdict(o, 4).breaches().isEmpty(), o.report());
