--- a/src/main/java/brooklock/platform/NodeMain.java
+++ b/src/main/java/brooklock/platform/NodeMain.java
@@ -7,10 +7,15 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import sun.misc.Signal;
 
-/** The program as the platform starts it: the configuration's path in {@code NODE_CONFIG}, SIGHUP to read it again. */
+/**
+ * The program as the platform starts it: the configuration's path in {@code NODE_CONFIG}, SIGHUP to read it again, SIGTERM to
+ * answer what is taken and end.
+ */
 public final class NodeMain {
     private NodeMain() {
     }
@@ -22,19 +27,25 @@
             return 2;
         }
         NodeLogs.use();
-        CountDownLatch early = new CountDownLatch(1);
-        Node[] node = new Node[1];
-        // Before anything else: the system's way with an unhandled one is to end the program.
-        Signal.handle(new Signal("HUP"), s -> reload(early, node));
+        CompletableFuture<Node> started = new CompletableFuture<>();
+        AtomicBoolean ending = new AtomicBoolean();
+        // Before anything else: the system's way with one that is not handled is to end the program. One that comes before
+        // the start is done waits for that; a second notice to end changes nothing.
+        Signal.handle(new Signal("HUP"), s -> started.thenAccept(Node::reload));
+        Signal.handle(new Signal("TERM"), s -> {
+            if (!ending.getAndSet(true)) {
+                started.thenAccept(NodeMain::end);
+            }
+        });
+        System.err.println("starting");
         try {
-            node[0] = Node.start(Path.of(config));
-        } catch (IOException e) {
+            Node node = Node.start(Path.of(config));
+            System.err.println("serving " + node.address());
+            started.complete(node);
+        } catch (IOException | RuntimeException e) {
             System.err.println("brooklock: " + e.getMessage());
             return 1;
         }
-        early.countDown();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(node[0]), "end"));
-        System.err.println("serving " + node[0].address());
         new CountDownLatch(1).await();
         return 0;
     }
@@ -64,15 +75,6 @@
         }
     }
 
-    private static void reload(CountDownLatch started, Node[] node) {
-        try {
-            started.await();
-            node[0].reload();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private static void end(Node node) {
         try {
             node.drain();
--- /dev/null
+++ b/src/test/java/brooklock/platform/ProcessTest.java
@@ -0,0 +1,158 @@
+package brooklock.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A dispatcher as a process of its own: how it starts, what signals do, how it ends. */
+@Timeout(60)
+class ProcessTest {
+    private static final Pattern SERVING = Pattern.compile("serving /(127\\.0\\.0\\.1):([0-9]+)");
+
+    @TempDir
+    private Path dir;
+    private Process process;
+    private BufferedReader log;
+
+    @AfterEach
+    void end() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
+    private void start(String config) throws IOException {
+        Path file = Files.writeString(dir.resolve("config.json"), config);
+        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx48m",
+                "-cp", System.getProperty("java.class.path"), "brooklock.Main", "node").redirectErrorStream(true);
+        b.environment().put("NODE_CONFIG", file.toString());
+        process = b.start();
+        log = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+    }
+
+    private InetSocketAddress serving() throws IOException {
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            Matcher m = SERVING.matcher(line);
+            if (m.find()) {
+                return new InetSocketAddress(m.group(1), Integer.parseInt(m.group(2)));
+            }
+        }
+        throw new AssertionError("it does not serve");
+    }
+
+    @Test
+    void aNoticeToEndAlsoTwiceIsFollowedByAnEndOfItsOwn() throws Exception {
+        try (FakeHost origin = new FakeHost(FakeHost.serves(new byte[] {7}))) {
+            start(Configs.config("127.0.0.1:9", List.of(Configs.endpoint("s-o", origin.address(), "origin", "active"))));
+            try (Caller caller = new Caller(serving())) {
+                Map<String, String> f = Caller.fields(0x41, 0x42, 2400);
+                caller.send(Caller.call(1, Configs.READS, f, new byte[0]));
+                assertEquals(1, caller.answer().number());
+                process.destroy();
+                process.destroy();
+                // The client rests until it is ended.
+                assertEquals(null, caller.answer());
+            }
+            assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+            assertEquals(0, process.exitValue());
+        }
+    }
+
+    @Test
+    void signalsBeforeItIsReadyWaitForTheStart() throws Exception {
+        try (ServerSocket channel = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
+            start(Configs.config("127.0.0.1:" + channel.getLocalPort(), List.of()));
+            assertEquals("starting", log.readLine());
+            signal("HUP");
+            signal("TERM");
+            assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+            assertEquals(0, process.exitValue());
+        }
+    }
+
+    // The next line that is not one of the log.
+    private String word() throws IOException {
+        String line = log.readLine();
+        while (line != null && line.startsWith("{")) {
+            line = log.readLine();
+        }
+        return line;
+    }
+
+    private void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"settings", "known", "name", "listen", "channel"})
+    void whatIsMissingEndsTheStartWithOneLine(String field) throws Exception {
+        JsonObject config = JsonParser.parseString(Configs.config("127.0.0.1:9", List.of())).getAsJsonObject();
+        config.remove(field);
+        start(config.toString());
+        assertEquals("starting", log.readLine());
+        String all = String.join("\n", log.lines().toList());
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(1, process.exitValue());
+        assertEquals("brooklock: the configuration can't be read: " + field + " is missing", all);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"dcs", "lanes", "machineTypes", "limits", "extra", "invariants"})
+    void settingsWithoutAPartServeOrEndTheStartWithOneLine(String field) throws Exception {
+        JsonObject config = JsonParser.parseString(Configs.config("127.0.0.1:9", List.of())).getAsJsonObject();
+        config.getAsJsonObject("settings").remove(field);
+        config.addProperty("unheard-of", 1);
+        start(config.toString());
+        assertEquals("starting", log.readLine());
+        String first = word();
+        if (!first.startsWith("brooklock: ")) {
+            assertTrue(SERVING.matcher(first).find(), first);
+            return;
+        }
+        assertEquals("brooklock: the configuration can't be read: " + field + " is missing", first);
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(1, process.exitValue());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"144, 48", "152, 50", "96, 32", "24, 16", "4096, 64", "'', 48"})
+    void theHeapFollowsTheLimitOfMemoryAndNoProgramIsStartedOnTheWay(String limit, int heap) throws Exception {
+        Path config = Files.writeString(dir.resolve("c.json"), limit.isEmpty() ? "{}"
+                : "{\"name\":\"n\",\"limits\":{\"cores\":1.0, \"memory_mb\" : " + limit + "}}\n");
+        Path java = dir.resolve("java");
+        Files.writeString(java, "#!/bin/sh\necho \"$@\"\necho pid $$\n");
+        assertTrue(java.toFile().setExecutable(true));
+        ProcessBuilder b = new ProcessBuilder("deploy/node").redirectErrorStream(true);
+        b.environment().put("PATH", dir + ":/usr/bin:/bin");
+        b.environment().put("NODE_CONFIG", config.toString());
+        process = b.start();
+        String out = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(out.contains("-Xms" + heap + "m -Xmx" + heap + "m "), out);
+        assertTrue(out.contains("pid " + process.pid()), out);
+        assertFalse(out.contains("node: line"), out);
+    }
+}
