A late connection is shared around and kept; what waits for one counts as no jam

A third of the connections come up to 1.5 s late there, the time to connect was counted into `tookNs` (Engine.ended, from the decision), and a connect that failed after its aim cut the gates as late work (Rules.gates). Excluded: the dispatchers' own lag (1 to 16 ms). Change: an attempt's time counts from its first byte; MOOT and CONNECT_FAILED tell nothing of a way. A connection that is not there after an eighth of its time-out lets whoever waits share one that is; one past its time-out fails its attempt as before but is waited for, four time-outs in all, and serves the next. FakeHost.close waits until the system has let go of its socket (a test was served by a host it had just closed).

--- a/src/main/java/brooklock/RouterApi.java
+++ b/src/main/java/brooklock/RouterApi.java
@@ -30,6 +30,11 @@
         Outcome(boolean provesNotRun) {
             this.provesNotRun = provesNotRun;
         }
+
+        /** True if the attempt never came to its host, so that nothing on the way was late. */
+        public boolean neverBegan() {
+            return this == MOOT || this == CONNECT_FAILED;
+        }
     }
 
     /** What an answer tells of the copy or of the fill that failed. */
--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -803,7 +803,7 @@
             fillGate.answered(onTime, q.work, meanWork);
         } else if (ok && d.note() == Note.FILLED_BY_ORIGIN || sourceFailed(d.note()) && !unreached(d)) {
             originGate.answered(onTime, q.work, meanWork);
-        } else if (!ok && now >= q.aimAt && !lostAnswer) {
+        } else if (!ok && !d.outcome().neverBegan() && now >= q.aimAt && !lostAnswer) {
             (a.reach == Reach.CACHE ? a.host.gate : fillGate).answered(false, q.work, meanWork);
         }
         boolean open = ok && a.reach == Reach.ORIGIN && isCache(a.host);
--- a/src/main/java/brooklock/net/Stream.java
+++ b/src/main/java/brooklock/net/Stream.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.ChannelPipe;
 import org.xnio.StreamConnection;
 
@@ -34,6 +36,8 @@
     // Bytes read and left after the sending side was shut; a peer that sends more is not waited for.
     private static final long MOST_LEFT = 256 * 1024;
 
+    private static final Logger LOG = LoggerFactory.getLogger(Stream.class);
+
     private Taker taker;
     private boolean reading;
     private Runnable over;
@@ -196,6 +200,10 @@
             }
         } catch (IOException e) {
             broken(String.valueOf(e.getMessage()));
+        } catch (RuntimeException fault) {
+            // A fault of whoever speaks the protocol costs this connection, not the thread: its bytes would be ready for ever.
+            LOG.error("a connection's bytes could not be taken", fault);
+            broken("a fault here");
         }
         return n > 0;
     }
--- a/src/main/java/brooklock/platform/Engine.java
+++ b/src/main/java/brooklock/platform/Engine.java
@@ -131,7 +131,7 @@
             job.client.served(job, answer);
         }
         tell(new RouterApi.Done(job.number, t.attempt, t.get.host(), outcome, note,
-                clock.now() - t.sentAtNs, waitedNs, job.closed));
+                clock.now() - t.begunAtNs, waitedNs, job.closed));
         forget(job);
     }
 
--- a/src/main/java/brooklock/platform/HostLinks.java
+++ b/src/main/java/brooklock/platform/HostLinks.java
@@ -2,6 +2,7 @@
 
 import brooklock.RouterApi.Note;
 import brooklock.RouterApi.Outcome;
+import brooklock.net.IoLoop;
 import brooklock.net.Stream;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -22,11 +23,26 @@
     private static final Logger LOG = LoggerFactory.getLogger(HostLinks.class);
     // Attempts that may wait for a connection; further ones find none.
     private static final int MOST_WAITING = 1024;
+    // A connection still on its way after this part of its time-out is late: whoever waits shares one that is there.
+    private static final int SLOW = 8;
+    // One that is not there by its time-out fails its attempt and is waited for so many time-outs in all, to be there for
+    // the next: calling it off and dialling anew would meet the same way again.
+    private static final int PATIENCE = 4;
 
     /** How connections are made. */
     interface Dialer {
-        /** Begins one; calls either of the two later, unless what it gives is run before, which gives it up. */
-        Runnable dial(InetSocketAddress address, Consumer<Stream> opened, Consumer<String> failed);
+        /**
+         * Begins one; calls either of the two later, unless what it gives is run before, which gives it up.
+         *
+         * @param limitNs longest that it may take, ns
+         */
+        Runnable dial(InetSocketAddress address, long limitNs, Consumer<Stream> opened, Consumer<String> failed);
+    }
+
+    // A connection on its way; once it is overdue no attempt counts on it.
+    private static final class Dialled {
+        Runnable giveUp;
+        boolean overdue;
     }
 
     /** Room for connections among those to all hosts. */
@@ -44,8 +60,10 @@
     }
 
     private final String name;
+    private final IoLoop loop;
     private final Dialer dialer;
     private final InetSocketAddress address;
+    private final long timeoutNs;
     private final int streams;
     private final Room room;
     private final Function<Try, ByteBuffer> frames;
@@ -53,21 +71,24 @@
     private final List<HostLink> links = new ArrayList<>();
     private final ArrayDeque<HostLink> idle = new ArrayDeque<>();
     private final ArrayDeque<Try> line = new ArrayDeque<>();
-    private final List<Runnable> dials = new ArrayList<>();
+    private final List<Dialled> dials = new ArrayList<>();
     private boolean left;
 
     /**
      * None yet.
      *
      * @param dialer makes connections
+     * @param timeoutNs time for one to come up, ns
      * @param streams requests that one connection may carry
      * @param room says whether one more connection may be opened
      * @param frames makes an attempt's frame as it is written, or null where it must not begin any more
      */
-    HostLinks(String name, Dialer dialer, InetSocketAddress address, int streams, Room room,
+    HostLinks(String name, IoLoop loop, Dialer dialer, InetSocketAddress address, long timeoutNs, int streams, Room room,
             Function<Try, ByteBuffer> frames, Taker taker) {
         this.name = name;
+        this.loop = loop;
         this.dialer = dialer;
+        this.timeoutNs = timeoutNs;
         this.address = address;
         this.streams = streams;
         this.room = room;
@@ -107,9 +128,10 @@
                 return l;
             }
         }
-        if (room.has(connections())) {
-            return null;
-        }
+        return room.has(connections()) ? null : leastBusy(t);
+    }
+
+    private HostLink leastBusy(Try t) {
         HostLink best = null;
         for (HostLink l : links) {
             if (l.usable(t.job, streams) && (best == null || l.load() < best.load())) {
@@ -120,23 +142,51 @@
     }
 
     private void dialMore() {
-        while (dials.size() < line.size() && room.has(connections())) {
+        while (dials.stream().filter(d -> !d.overdue).count() < line.size() && room.has(connections())) {
             room.make();
-            Runnable[] self = new Runnable[1];
-            self[0] = dialer.dial(address, s -> opened(self[0], s), why -> failed(self[0], why));
-            dials.add(self[0]);
+            Dialled d = new Dialled();
+            dials.add(d);
+            d.giveUp = dialer.dial(address, PATIENCE * timeoutNs, s -> opened(d, s), why -> failed(d, why));
+            loop.after(timeoutNs / SLOW, () -> slow(d));
+            loop.after(timeoutNs, () -> overdue(d));
+        }
+    }
+
+    private void slow(Dialled d) {
+        if (!dials.contains(d)) {
+            return;
+        }
+        for (Try t : waiting()) {
+            HostLink shared = leastBusy(t);
+            if (shared != null && line.remove(t)) {
+                idle.remove(shared);
+                begin(t, shared);
+            }
+        }
+    }
+
+    private void overdue(Dialled d) {
+        if (dials.contains(d)) {
+            d.overdue = true;
+            failFirst("no connection in time");
         }
     }
 
-    private void opened(Runnable d, Stream s) {
+    private void opened(Dialled d, Stream s) {
         dials.remove(d);
         HostLink l = new HostLink(this, s);
         links.add(l);
         idle(l);
     }
 
-    private void failed(Runnable d, String why) {
+    private void failed(Dialled d, String why) {
         dials.remove(d);
+        if (!d.overdue) {
+            failFirst(why);
+        }
+    }
+
+    private void failFirst(String why) {
         Try first = line.poll();
         log(why, line.size() + 1);
         if (first != null) {
@@ -200,7 +250,7 @@
     /** The host has left the list: its address may soon be another's, so nothing new goes there. */
     void leave() {
         left = true;
-        dials.forEach(Runnable::run);
+        dials.forEach(d -> d.giveUp.run());
         dials.clear();
         for (Try t = line.poll(); t != null; t = line.poll()) {
             taker.ended(t, Outcome.CONNECT_FAILED, Note.NONE, 0, null);
--- a/src/main/java/brooklock/platform/Hosts.java
+++ b/src/main/java/brooklock/platform/Hosts.java
@@ -28,6 +28,7 @@
     private final HostLinks.Dialer dialer;
     private final long idleNs;
     private final int streams;
+    private final long timeoutNs;
     private final int descriptors;
     private final Map<Long, HostLinks> links = new HashMap<>();
     private Engine engine;
@@ -45,6 +46,7 @@
         this.dialer = dialer;
         idleNs = Math.max(config.connIdleNs() / 2, config.connIdleNs() - IDLE_MARGIN_NS);
         streams = Math.max(1, config.streams());
+        timeoutNs = config.settings().limits().connectTimeoutNs();
         this.descriptors = descriptors;
     }
 
@@ -131,8 +133,8 @@
         }
         t.host = host.entry;
         t.source = source.entry;
-        links.computeIfAbsent(host.number, n -> new HostLinks(host.name, dialer, host.address, streams,
-                this, this::frame, engine::ended)).send(t);
+        links.computeIfAbsent(host.number, n -> new HostLinks(host.name, loop, dialer, host.address, timeoutNs,
+                streams, this, this::frame, engine::ended)).send(t);
     }
 
     @Override
@@ -162,6 +164,7 @@
         if (t.over || t.job.closed || waitedNs > t.get.beginWithinNs() || !standing(t)) {
             return null;
         }
+        t.begunAtNs = engine.now();
         return frame(t, table.get(t.get.host()), table.get(t.get.source()), t.get.limitNs() - waitedNs);
     }
 
--- a/src/main/java/brooklock/platform/Node.java
+++ b/src/main/java/brooklock/platform/Node.java
@@ -47,8 +47,7 @@
         int room = Math.max(4 * Front.MOST_FINISHING, config.sockets() - OWN_DESCRIPTORS);
         int clients = (int) (room * CLIENTS);
         hosts = new Hosts(loop, new HostTable(config.zones(), config.kinds(), clock::ofWall), config, room - clients,
-                (address, opened, failed) -> Dial.to(loop, address, config.settings().limits().connectTimeoutNs(), opened,
-                        failed)::giveUp);
+                (address, limitNs, opened, failed) -> Dial.to(loop, address, limitNs, opened, failed)::giveUp);
         engine = new Engine(Decider.rules(config.settings()), clock, loop, hosts);
         front = new Front(loop, config.classes(), clients - Front.MOST_FINISHING, engine);
         channel = new CommandChannel(loop, config.channel(), config.cursor(), config.seed(), this::command);
--- a/src/main/java/brooklock/platform/Practice.java
+++ b/src/main/java/brooklock/platform/Practice.java
@@ -117,7 +117,7 @@
         return b.put((byte) 0xc4).put((byte) (write ? 1 : 0)).put(write ? new byte[1] : new byte[0]).flip();
     }
 
-    private Runnable dial(InetSocketAddress address, Consumer<Stream> opened, Consumer<String> failed) {
+    private Runnable dial(InetSocketAddress address, long limitNs, Consumer<Stream> opened, Consumer<String> failed) {
         loop.execute(() -> {
             try {
                 Stream[] pair = Stream.pair(loop);
--- a/src/main/java/brooklock/platform/Try.java
+++ b/src/main/java/brooklock/platform/Try.java
@@ -12,6 +12,8 @@
     /** What the list said of its host and its source when it was decided. */
     HostEntry host;
     HostEntry source;
+    /** The module's time at its first byte; when it was decided, before it has one. */
+    long begunAtNs;
     /** The connection it is on; null before it has one. */
     HostLink link;
     boolean over;
@@ -21,5 +23,6 @@
         this.attempt = attempt;
         this.get = get;
         this.sentAtNs = sentAtNs;
+        begunAtNs = sentAtNs;
     }
 }
--- a/src/test/java/brooklock/platform/ClosingTest.java
+++ b/src/test/java/brooklock/platform/ClosingTest.java
@@ -7,11 +7,14 @@
 import brooklock.RouterApi.Outcome;
 import brooklock.RouterApi.Refuse;
 import brooklock.RouterApi.Request;
+import brooklock.net.Stream;
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -130,6 +133,32 @@
                 .contains("Overloaded"));
     }
 
+    @Test
+    void aFaultWhileBytesAreTakenCostsTheirConnectionAlone() throws Exception {
+        CountDownLatch told = new CountDownLatch(1);
+        AtomicInteger calls = new AtomicInteger();
+        Stream[] pair = rig.on(() -> Stream.pair(rig.loop));
+        rig.on(() -> {
+            pair[0].start(new Stream.Taker() {
+                @Override
+                public void bytes(ByteBuffer in) {
+                    calls.incrementAndGet();
+                    throw new IllegalStateException("a fault of the test's own");
+                }
+
+                @Override
+                public void ended(String why) {
+                    told.countDown();
+                }
+            });
+            pair[1].write(ByteBuffer.allocate(3));
+            return null;
+        });
+        assertTrue(told.await(20, TimeUnit.SECONDS));
+        isKnown();
+        assertEquals(1, calls.get());
+    }
+
     @Test
     void whatIsTakenIsAnsweredBeforeTheSendingSideIsShut() throws Exception {
         client.getOutputStream().write(call(1, 0x26));
--- a/src/test/java/brooklock/platform/FakeHost.java
+++ b/src/test/java/brooklock/platform/FakeHost.java
@@ -25,10 +25,11 @@
     final ServerSocket listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
     final List<Asked> asked = new CopyOnWriteArrayList<>();
     volatile Way way;
+    private final Thread accepting;
 
     FakeHost(Way way) throws IOException {
         this.way = way;
-        run(() -> {
+        accepting = run(() -> {
             while (true) {
                 Socket s = listener.accept();
                 run(() -> serve(s));
@@ -40,7 +41,7 @@
         void go() throws Exception;
     }
 
-    private static void run(Work w) {
+    private static Thread run(Work w) {
         Thread t = new Thread(() -> {
             try {
                 w.go();
@@ -50,6 +51,7 @@
         }, "fake-host");
         t.setDaemon(true);
         t.start();
+        return t;
     }
 
     private void serve(Socket s) throws IOException, Malformed {
@@ -85,8 +87,14 @@
         return (a, out, s) -> out.write(frame(Frame.OK, a.id(), "rev=4be0c1927d55a6f3,since=1,tell=hit", body));
     }
 
+    /** Stops listening; the system may keep the socket until the thread that accepts has let go, which is waited for. */
     @Override
     public void close() throws IOException {
         listener.close();
+        try {
+            accepting.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- a/src/test/java/brooklock/platform/ProcessTest.java
+++ b/src/test/java/brooklock/platform/ProcessTest.java
@@ -139,7 +139,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"144, 48", "152, 50", "96, 32", "24, 16", "4096, 64", "'', 48"})
+    @CsvSource({"144, 48", "152, 50", "96, 32", "24, 16", "4096, 64", "'', 48", "'\"x\"', 48"})
     void theHeapFollowsTheLimitOfMemoryAndNoProgramIsStartedOnTheWay(String limit, int heap) throws Exception {
         Path config = Files.writeString(dir.resolve("c.json"), limit.isEmpty() ? "{}"
                 : "{\"name\":\"n\",\"limits\":{\"cores\":1.0, \"memory_mb\" : " + limit + "}}\n");
--- a/src/test/java/brooklock/platform/Rig.java
+++ b/src/test/java/brooklock/platform/Rig.java
@@ -85,7 +85,7 @@
     Rig(int connections, BiConsumer<Event, List<Action>> decides) throws Exception {
         NodeConfig config = NodeConfig.of(Configs.config("127.0.0.1:9", List.of()));
         hosts = new Hosts(loop, new HostTable(config.zones(), config.kinds(), clock::ofWall), config, connections,
-                (to, opened, failed) -> {
+                (to, limitNs, opened, failed) -> {
                     dials.add(new Dialled(to, opened, failed));
                     return () -> { };
                 });
--- a/src/test/java/brooklock/platform/WaitingTest.java
+++ b/src/test/java/brooklock/platform/WaitingTest.java
@@ -187,6 +187,49 @@
         assertEquals("Internal", caller.answer().error());
     }
 
+    @Test
+    void whereAConnectionIsLateOneThatIsThereIsShared() throws Exception {
+        rig = new Rig(64, WaitingTest::once);
+        Rig.Peer there = rig.open(asks(0x1d));
+        assertEquals(0x1d, there.asked().id());
+        caller.send(Caller.call(2, Configs.READS, Caller.fields(0x1e, 0x7f, WAIT_MS), new byte[0]));
+        Rig.Dialled late = rig.dialled();
+        assertEquals(0x1e, there.asked().id());
+        // The late one is taken when it comes, and is there for the next.
+        Rig.Peer second = rig.open(late);
+        caller.send(Caller.call(3, Configs.READS, Caller.fields(0x1f, 0x7f, WAIT_MS), new byte[0]));
+        assertEquals(0x1f, second.asked().id());
+        assertNull(rig.dials.peek());
+    }
+
+    @Test
+    void aConnectionThatIsNotThereInTimeFailsItsAttemptAndServesTheNext() throws Exception {
+        rig = new Rig(64, WaitingTest::once);
+        Rig.Dialled late = asks(0x20);
+        Done d = rig.event(Done.class);
+        assertEquals(Outcome.CONNECT_FAILED, d.outcome());
+        assertEquals("Internal", caller.answer().error());
+        Rig.Peer p = rig.open(late);
+        caller.send(Caller.call(2, Configs.READS, Caller.fields(0x2a, 0x7f, WAIT_MS), new byte[0]));
+        assertEquals(0x2a, p.asked().id());
+        assertNull(rig.dials.peek());
+    }
+
+    @Test
+    void theTimeOfAnAttemptCountsFromItsFirstByte() throws Exception {
+        rig = new Rig(64, WaitingTest::once);
+        Rig.Dialled late = asks(0x2b);
+        long from = System.nanoTime();
+        while (System.nanoTime() - from < 100_000_000) {
+            Thread.onSpinWait();
+        }
+        Rig.Peer p = rig.open(late);
+        long opened = System.nanoTime();
+        p.asked();
+        p.answers(Frame.OK, 0x2b, "rev=1");
+        assertTrue(rig.event(Done.class).tookNs() <= System.nanoTime() - opened + 50_000_000);
+    }
+
     @Test
     void anIdleConnectionElsewhereGivesItsPlace() throws Exception {
         rig = new Rig(1, (e, out) -> {
