A client that leaves and an attempt that never began tell nothing of a way

Rules.gates took every outcome of an unsized request that is not OK in time for late, and every one of a write. Change: what never began or was called off before its aim moves no gate. The test fails without the change.

--- a/src/main/java/brooklock/Rules.java
+++ b/src/main/java/brooklock/Rules.java
@@ -286,8 +286,7 @@
 
     // ---- The hot list
 
-    // At the interval's end what was counted becomes the list; a whole interval without events leaves it
-    // empty.
+    // At the interval's end what was counted becomes the list; an interval without events leaves it empty.
     private void turnInterval() {
         if (now < intervalEnd) {
             return;
@@ -788,22 +787,24 @@
     }
 
     // A hit tells of the cache's own link, a parent's copy of the way in, the rest of the origin behind.
+    // What never began, or was called off before its aim (its client left), tells nothing.
     private void gates(Req q, Attempt a, Done d, boolean lostAnswer) {
         boolean ok = d.outcome() == Outcome.OK;
         boolean onTime = ok && onTime(q, d);
+        if (d.outcome().neverBegan() || d.outcome() == Outcome.CANCELLED && now < q.aimAt) {
+            return;
+        }
         if (q.cls.goesThrough()) {
             originGate.answered(onTime, meanWork, meanWork);
         } else if (!q.sized) {
             (isCache(a.host) && d.note() == Note.HIT ? a.host.gate : fillGate).hint(onTime, HINT_WEIGHT);
-        } else if (ok && !isCache(a.host)) {
-            fillGate.answered(onTime, q.work, meanWork);
-        } else if (ok && d.note() == Note.HIT) {
+        } else if (ok && isCache(a.host) && d.note() == Note.HIT) {
             a.host.gate.answered(onTime, q.work, meanWork);
-        } else if (ok && d.note() == Note.FILLED) {
+        } else if (ok && (!isCache(a.host) || d.note() == Note.FILLED)) {
             fillGate.answered(onTime, q.work, meanWork);
         } else if (ok && d.note() == Note.FILLED_BY_ORIGIN || sourceFailed(d.note()) && !unreached(d)) {
             originGate.answered(onTime, q.work, meanWork);
-        } else if (!ok && !d.outcome().neverBegan() && now >= q.aimAt && !lostAnswer) {
+        } else if (!ok && now >= q.aimAt && !lostAnswer) {
             (a.reach == Reach.CACHE ? a.host.gate : fillGate).answered(false, q.work, meanWork);
         }
         boolean open = ok && a.reach == Reach.ORIGIN && isCache(a.host);
--- a/src/test/java/brooklock/RulesTest.java
+++ b/src/test/java/brooklock/RulesTest.java
@@ -191,6 +191,8 @@
         rig.now += 100 * MS;
         Get again = Rig.get(rig.done(g, Outcome.ERROR, Note.NONE, 100));
         assertNotNull(again, "inside its window");
+        assertEquals(3000 * MS, g.beginWithinNs(), "a first attempt may begin until the deadline");
+        assertEquals(1900 * MS, again.beginWithinNs(), "a repeat may begin until its window ends");
         rig.now += 2000 * MS;
         List<Action> out = rig.done(again, Outcome.ERROR, Note.NONE, 2000);
         assertNull(Rig.get(out));
@@ -467,6 +469,29 @@
         assertTrue(looked);
     }
 
+    @Test
+    void clientsThatLeaveAndAttemptsThatNeverBeganCloseNoWay() {
+        Rig rig = new Rig().withFleet();
+        for (int i = 0; i < 300; i++) {
+            Request r = unsized(rig.request(PAGE, 7000 + i));
+            Get g = Rig.get(rig.on(r));
+            rig.now += 20 * MS;
+            rig.on(new RouterApi.Lapsed(r.id()));
+            rig.on(new RouterApi.Done(r.id(), 0, g.host(), Outcome.CANCELLED, Note.NONE, 20 * MS, 0, true));
+            Get late = rig.ask(PAGE, 9000 + i);
+            rig.now += 700 * MS;
+            rig.done(late, i % 2 == 0 ? Outcome.MOOT : Outcome.CONNECT_FAILED, Note.NONE, 700);
+        }
+        for (int i = 0; i < 20; i++) {
+            Get g = Rig.get(rig.on(unsized(rig.request(PAGE, 12_000 + i))));
+            assertTrue(g.source() != g.host(), "a fill is asked for with the request");
+        }
+    }
+
+    private static Request unsized(Request r) {
+        return new Request(r.id(), r.cls(), r.object(), r.part(), r.group(), 0, r.repeat(), r.deadlineNs());
+    }
+
     private static void jam(Rig rig) {
         for (int round = 0; round < 30; round++) {
             List<Get> out = new ArrayList<>();
