A connection taken for an attempt that does not begin is idle again

Found by reading: HostLinks took a connection from the idle ones and left it out of them where the attempt's frame could not be made any more (send, and sharing where a connection is late), so it was neither used nor closed as idle. Measured: the new test dials anew without the change (run), and does not with it.

--- a/src/main/java/brooklock/platform/HostLinks.java
+++ b/src/main/java/brooklock/platform/HostLinks.java
@@ -100,7 +100,7 @@
     void send(Try t) {
         HostLink free = pick(t);
         if (free != null) {
-            begin(t, free);
+            beginOrKeep(t, free);
         } else if (left || line.size() >= MOST_WAITING) {
             taker.ended(t, Outcome.CONNECT_FAILED, Note.NONE, 0, null);
         } else {
@@ -109,6 +109,13 @@
         }
     }
 
+    // A connection that was taken from the idle ones for an attempt that does not begin goes back to them.
+    private void beginOrKeep(Try t, HostLink on) {
+        if (!begin(t, on) && on.load() == 0) {
+            idle(on);
+        }
+    }
+
     // What is written is true at its first byte: an attempt that waited too long, or whose grounds have changed since it
     // was decided, goes back to the module, which is told that it never ran.
     private boolean begin(Try t, HostLink on) {
@@ -160,7 +167,7 @@
             HostLink shared = leastBusy(t);
             if (shared != null && line.remove(t)) {
                 idle.remove(shared);
-                begin(t, shared);
+                beginOrKeep(t, shared);
             }
         }
     }
--- a/src/test/java/brooklock/platform/WaitingTest.java
+++ b/src/test/java/brooklock/platform/WaitingTest.java
@@ -215,6 +215,26 @@
         assertNull(rig.dials.peek());
     }
 
+    @Test
+    void aConnectionForAnAttemptThatDoesNotBeginIsThereForTheNext() throws Exception {
+        rig = new Rig(64, (e, out) -> {
+            if (e instanceof Request r) {
+                out.add(Rig.get(r.id(), "a", WAIT_MS, r.object() == 0x80 ? -1 : WAIT_MS));
+            } else if (e instanceof Done d && d.outcome() != Outcome.OK) {
+                out.add(new Fail(d.id()));
+            }
+        });
+        Rig.Peer p = rig.open(asks(0x2c));
+        p.asked();
+        p.answers(Frame.OK, 0x2c, "rev=1");
+        assertNull(caller.answer().error());
+        caller.send(Caller.call(2, Configs.READS, Caller.fields(0x2d, 0x80, WAIT_MS), new byte[0]));
+        assertEquals("Internal", caller.answer().error());
+        caller.send(Caller.call(3, Configs.READS, Caller.fields(0x2e, 0x7f, WAIT_MS), new byte[0]));
+        assertEquals(0x2e, p.asked().id());
+        assertNull(rig.dials.peek());
+    }
+
     @Test
     void theTimeOfAnAttemptCountsFromItsFirstByte() throws Exception {
         rig = new Rig(64, WaitingTest::once);
