A message that comes byte by byte holds no place for ever

Found by reading: the 2 s for a message began anew with each piece (ClientLink.deadline), so that a client which sends a byte a second is never idle, never gives way and never ends; half the descriptors of such clients shut the front. Change: a whole message has 6 s, above every deadline; a completed one begins the time anew, so pipelining is not touched.

--- a/src/main/java/brooklock/platform/ClientLink.java
+++ b/src/main/java/brooklock/platform/ClientLink.java
@@ -13,7 +13,7 @@
     static final int MOST_OPEN = 32;
     // Messages out of order before their connection is closed: a client that sends nothing else costs little more.
     private static final int MOST_WRONG = 4;
-    // Time for the rest of a message from its first byte, and for a new connection's first, ns.
+    // Time in which more of a message has to come, and a new connection's first byte, ns.
     private static final long MESSAGE_NS = 2_000_000_000L;
     // Time in which a client takes not one byte of what waits for it, ns.
     private static final long STALL_NS = 5_000_000_000L;
@@ -28,6 +28,7 @@
     private final Map<Long, Job> open = new HashMap<>();
     private final Map<Long, RpcMessage.Call> fresh = new LinkedHashMap<>();
     private long idleSince = System.nanoTime();
+    private long messageSince;
     private long writtenBefore;
     private int wrong;
     private boolean spoke;
@@ -82,12 +83,19 @@
     @Override
     public void bytes(ByteBuffer in) {
         try {
+            boolean begins = !halfRead;
             for (RpcMessage m = decoder.next(in); m != null && !stream.closed(); m = decoder.next(in)) {
                 spoke = true;
+                begins = true;
                 idleSince = System.nanoTime();
                 take(m);
             }
             halfRead = decoder.within() || in.hasRemaining();
+            if (begins) {
+                messageSince = System.nanoTime();
+            } else if (System.nanoTime() - messageSince > front.messageNs()) {
+                throw new Malformed("a message that takes too long");
+            }
             takeFresh();
             if (!stream.closed()) {
                 deadline();
--- a/src/main/java/brooklock/platform/Front.java
+++ b/src/main/java/brooklock/platform/Front.java
@@ -21,6 +21,8 @@
     // Time without a call after which a connection is closed, ns; clients close theirs after 4 s.
     private static final long IDLE_NS = 8_000_000_000L;
     private static final long SWEEP_NS = 500_000_000L;
+    // Time for a whole message, ns: above every deadline, and a client that sends byte by byte holds no place for ever.
+    private static final long MESSAGE_NS = 6_000_000_000L;
     // Time between looks at whether all has been answered, at the end, ns.
     static final long LOOK_NS = 10_000_000L;
     // Connections that may be ending in order above the bound: their descriptors are counted in Node's.
@@ -32,6 +34,7 @@
     private final Engine engine;
     private final Set<ClientLink> links = new LinkedHashSet<>();
     private StreamListener listener;
+    private long messageNs = MESSAGE_NS;
     private int finishing;
     private boolean well = true;
     private boolean closing;
@@ -105,6 +108,16 @@
         return engine;
     }
 
+    /** Time for a whole message, ns. */
+    long messageNs() {
+        return messageNs;
+    }
+
+    /** Sets the time for a whole message, ns. */
+    void messageNs(long ns) {
+        messageNs = ns;
+    }
+
     Map<String, ClientRequest.Form> classes() {
         return classes;
     }
--- a/src/test/java/brooklock/platform/ClosingTest.java
+++ b/src/test/java/brooklock/platform/ClosingTest.java
@@ -10,6 +10,7 @@
 import brooklock.net.Stream;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
@@ -133,6 +134,27 @@
                 .contains("Overloaded"));
     }
 
+    @Test
+    void aMessageThatComesByteByByteHoldsNoPlaceForEver() throws Exception {
+        rig.on(() -> {
+            rig.front.messageNs(100_000_000);
+            return null;
+        });
+        byte[] call = Caller.call(1, Configs.WRITES, Caller.fields(0x28, 0x7f, 2000), new byte[RpcDecoder.MOST_BODY]);
+        int sent = 0;
+        client.setSoTimeout(1);
+        int read = 0;
+        while (read >= 0 && sent < call.length - 1) {
+            client.getOutputStream().write(call, sent++, 1);
+            try {
+                read = client.getInputStream().read();
+            } catch (SocketTimeoutException stillOpen) {
+                read = 0;
+            }
+        }
+        assertEquals(-1, read);
+    }
+
     @Test
     void aFaultWhileBytesAreTakenCostsTheirConnectionAlone() throws Exception {
         CountDownLatch told = new CountDownLatch(1);
