Bodies of open requests and answers not taken are bounded by the heap

Found by reading: 8,192 requests of 48,000 bytes are 393 MB and 512 KB for each of 250 clients 128 MB, on a heap of 48 MB; an error for want of memory on the one thread ends the dispatcher. Change: bodies of open requests take at most an eighth of the heap (then `Overloaded`), answers that wait for their clients a quarter (then the client with most of them is closed). Measured: both new tests fail without their bound (run) and pass with it.

--- a/src/main/java/brooklock/platform/ClientLink.java
+++ b/src/main/java/brooklock/platform/ClientLink.java
@@ -47,7 +47,7 @@
 
     /** Whether nothing is open here and no call is half read. */
     boolean idle() {
-        return !stream.closed() && open.isEmpty() && written() && !halfRead;
+        return !stream.closed() && open.isEmpty() && pending() == 0 && !halfRead;
     }
 
     /** Ends in order if nothing is open here even after what the system holds has been read; whether it does. */
@@ -71,9 +71,9 @@
         return spoke;
     }
 
-    /** Whether nothing waits to be written. */
-    boolean written() {
-        return stream.pending() == 0;
+    /** Bytes that wait to be written; none once it is closed. */
+    long pending() {
+        return stream.closed() ? 0 : stream.pending();
     }
 
     long idleSince() {
@@ -209,6 +209,9 @@
         if (stream.pending() > MOST_PENDING) {
             stream.read(false);
         }
+        if (stream.pending() > 0) {
+            front.stalls();
+        }
     }
 
     @Override
--- a/src/main/java/brooklock/platform/Engine.java
+++ b/src/main/java/brooklock/platform/Engine.java
@@ -28,6 +28,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Engine.class);
     // Requests taken and not ended; further ones are refused at once. Above what one core can serve in a deadline.
     private static final int MOST_JOBS = 8192;
+    // Part of the heap that the bodies of open requests may take together; further ones are refused at once.
+    private static final int HEAP_PART = 8;
 
     /** Where attempts and answers go. */
     interface Carrier {
@@ -55,6 +57,8 @@
     private long timerAt = Long.MAX_VALUE;
     private long lastNumber;
     private int open;
+    private long bodyBytes;
+    private long mostBodyBytes = Runtime.getRuntime().maxMemory() / HEAP_PART;
     private boolean deciding;
 
     Engine(Decider decider, Clock clock, IoLoop loop, Carrier carrier) {
@@ -74,6 +78,11 @@
         return vitals;
     }
 
+    /** Sets how many bytes the bodies of open requests may take together. */
+    void mostBodyBytes(long bytes) {
+        mostBodyBytes = bytes;
+    }
+
     /** Requests without a final answer. */
     int open() {
         return open;
@@ -81,12 +90,13 @@
 
     /** Takes a request whose id is not open; false where there is no room, which the caller tells the client. */
     boolean take(ClientRequest ask, ClientLink client, long message, Consumer<Job> taken) {
-        if (open >= MOST_JOBS) {
+        if (open >= MOST_JOBS || bodyBytes + ask.body().length > mostBodyBytes) {
             return false;
         }
         long now = clock.now();
         Job job = new Job(++lastNumber, ask, now, now + ask.waitMs() * 1_000_000L, client, message);
         jobs.put(job.number, job);
+        bodyBytes += ask.body().length;
         byId.put(ask.id(), job);
         open++;
         taken.accept(job);
@@ -143,8 +153,8 @@
     }
 
     private void forget(Job job) {
-        if (job.closed && job.open == 0) {
-            jobs.remove(job.number);
+        if (job.closed && job.open == 0 && jobs.remove(job.number) != null) {
+            bodyBytes -= job.ask.body().length;
         }
     }
 
--- a/src/main/java/brooklock/platform/Front.java
+++ b/src/main/java/brooklock/platform/Front.java
@@ -6,6 +6,7 @@
 import brooklock.net.StreamListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,8 @@
     private static final long SWEEP_NS = 500_000_000L;
     // Time for a whole message, ns: above every deadline, and a client that sends byte by byte holds no place for ever.
     private static final long MESSAGE_NS = 6_000_000_000L;
+    // Part of the heap that answers may take together until their clients take them; then the one with most is closed.
+    private static final int HEAP_PART = 4;
     // Time between looks at whether all has been answered, at the end, ns.
     static final long LOOK_NS = 10_000_000L;
     // Connections that may be ending in order above the bound: their descriptors are counted in Node's.
@@ -35,6 +38,7 @@
     private final Set<ClientLink> links = new LinkedHashSet<>();
     private StreamListener listener;
     private long messageNs = MESSAGE_NS;
+    private long mostPending = Runtime.getRuntime().maxMemory() / HEAP_PART;
     private int finishing;
     private boolean well = true;
     private boolean closing;
@@ -108,6 +112,18 @@
         return engine;
     }
 
+    /** An answer waits for its client to take it. */
+    void stalls() {
+        if (links.stream().mapToLong(ClientLink::pending).sum() > mostPending) {
+            links.stream().max(Comparator.comparingLong(ClientLink::pending)).ifPresent(ClientLink::close);
+        }
+    }
+
+    /** Sets how many bytes may wait for all clients together. */
+    void mostPending(long bytes) {
+        mostPending = bytes;
+    }
+
     /** Time for a whole message, ns. */
     long messageNs() {
         return messageNs;
--- a/src/test/java/brooklock/platform/ClosingTest.java
+++ b/src/test/java/brooklock/platform/ClosingTest.java
@@ -13,6 +13,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -53,7 +54,7 @@
         return Caller.call(number, Configs.READS, Caller.fields(id, 0x7f, 2000), new byte[0]);
     }
 
-    private static final byte[] WELL = Caller.call(1, "isWell", java.util.Map.of(), null);
+    private static final byte[] WELL = Caller.call(1, "isWell", Map.of(), null);
 
     private void isKnown() throws IOException {
         client.getOutputStream().write(WELL);
@@ -155,6 +156,45 @@
         assertEquals(-1, read);
     }
 
+    @Test
+    void bodiesThatTheHeapCantHoldAreRefused() throws Exception {
+        rig.on(() -> {
+            rig.engine.mostBodyBytes(1500);
+            return null;
+        });
+        try (Caller caller = new Caller(rig.address)) {
+            for (int i = 1; i <= 2; i++) {
+                Map<String, String> f = Caller.fields(0x30 + i, 0x7f, 2000);
+                f.put("k", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+                caller.send(Caller.call(i, Configs.WRITES, f, new byte[1000]));
+            }
+            Caller.Answer refused = caller.answer();
+            assertEquals(2, refused.number());
+            assertEquals("Overloaded", refused.error());
+            Rig.Peer host = rig.open(rig.dialled());
+            host.answers(Frame.OK, host.asked().id(), "rev=1");
+            assertEquals(1, caller.answer().number());
+            assertEquals(0, rig.on(rig.engine::open));
+        }
+    }
+
+    @Test
+    void aClientThatTakesNoneOfItsAnswersIsClosedBeforeTheyFillTheHeap() throws Exception {
+        rig.on(() -> {
+            rig.front.mostPending(300_000);
+            return null;
+        });
+        Rig.Peer host = null;
+        for (int i = 1; i <= 64 && rig.on(rig.front::connections) > 0; i++) {
+            client.getOutputStream().write(call(i, 0x100 + i));
+            rig.event(Request.class);
+            host = host == null ? rig.open(rig.dialled()) : host;
+            host.answers(Frame.OK, host.asked().id(), "rev=1", Frame.MOST_BODY);
+            rig.event(brooklock.RouterApi.Done.class);
+        }
+        assertEquals(0, rig.on(rig.front::connections));
+    }
+
     @Test
     void aFaultWhileBytesAreTakenCostsTheirConnectionAlone() throws Exception {
         CountDownLatch told = new CountDownLatch(1);
--- a/src/test/java/brooklock/platform/Rig.java
+++ b/src/test/java/brooklock/platform/Rig.java
@@ -58,8 +58,12 @@
         }
 
         void answers(int code, long id, String fields) throws Exception {
+            answers(code, id, fields, 0);
+        }
+
+        void answers(int code, long id, String fields, int bytes) throws Exception {
             on(() -> {
-                stream.write(FrameWriter.frame(Frame.FROM_HOST, code, id, fields, new byte[0]));
+                stream.write(FrameWriter.frame(Frame.FROM_HOST, code, id, fields, new byte[bytes]));
                 return null;
             });
         }
