Two tests of the platform path lose their slack and a line of the virtual machine

Seen by reading: one test allowed an attempt's time 50 ms of slack, which a busy machine can use up; another took the first line of the log for the program's own, which it is not where options come in the environment. Change: the time is held against a moment before the connection came up, strictly; lines of the virtual machine are passed over.

--- a/src/test/java/brooklock/platform/ProcessTest.java
+++ b/src/test/java/brooklock/platform/ProcessTest.java
@@ -86,7 +86,7 @@
     void signalsBeforeItIsReadyWaitForTheStart() throws Exception {
         try (ServerSocket channel = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
             start(Configs.config("127.0.0.1:" + channel.getLocalPort(), List.of()));
-            assertEquals("starting", log.readLine());
+            assertEquals("starting", word());
             signal("HUP");
             signal("TERM");
             assertTrue(process.waitFor(20, TimeUnit.SECONDS));
@@ -94,10 +94,10 @@
         }
     }
 
-    // The next line that is not one of the log.
+    // The next line that is neither one of the log nor one of the virtual machine's own.
     private String word() throws IOException {
         String line = log.readLine();
-        while (line != null && line.startsWith("{")) {
+        while (line != null && (line.startsWith("{") || line.startsWith("Picked up "))) {
             line = log.readLine();
         }
         return line;
@@ -113,7 +113,7 @@
         JsonObject config = JsonParser.parseString(Configs.config("127.0.0.1:9", List.of())).getAsJsonObject();
         config.remove(field);
         start(config.toString());
-        assertEquals("starting", log.readLine());
+        assertEquals("starting", word());
         String all = String.join("\n", log.lines().toList());
         assertTrue(process.waitFor(20, TimeUnit.SECONDS));
         assertEquals(1, process.exitValue());
@@ -127,7 +127,7 @@
         config.getAsJsonObject("settings").remove(field);
         config.addProperty("unheard-of", 1);
         start(config.toString());
-        assertEquals("starting", log.readLine());
+        assertEquals("starting", word());
         String first = word();
         if (!first.startsWith("brooklock: ")) {
             assertTrue(SERVING.matcher(first).find(), first);
--- a/src/test/java/brooklock/platform/WaitingTest.java
+++ b/src/test/java/brooklock/platform/WaitingTest.java
@@ -243,11 +243,11 @@
         while (System.nanoTime() - from < 100_000_000) {
             Thread.onSpinWait();
         }
+        long before = System.nanoTime();
         Rig.Peer p = rig.open(late);
-        long opened = System.nanoTime();
         p.asked();
         p.answers(Frame.OK, 0x2b, "rev=1");
-        assertTrue(rig.event(Done.class).tookNs() <= System.nanoTime() - opened + 50_000_000);
+        assertTrue(rig.event(Done.class).tookNs() <= System.nanoTime() - before);
     }
 
     @Test
