A test waits until its connection has been taken before it counts them

Seen: in a fresh clone ClosingTest.aClientThatTakesNoneOfItsAnswers... failed after 23 ms with one connection where none was expected: it counted connections before its own had been accepted, asked nothing, and then found it open. No fault of the program. Change: it asks whether the dispatcher is well first.

--- a/src/test/java/brooklock/platform/ClosingTest.java
+++ b/src/test/java/brooklock/platform/ClosingTest.java
@@ -184,9 +184,10 @@
             rig.front.mostPending(300_000);
             return null;
         });
+        isKnown();
         Rig.Peer host = null;
         for (int i = 1; i <= 64 && rig.on(rig.front::connections) > 0; i++) {
-            client.getOutputStream().write(call(i, 0x100 + i));
+            client.getOutputStream().write(call(i + 1, 0x100 + i));
             rig.event(Request.class);
             host = host == null ? rig.open(rig.dialled()) : host;
             host.answers(Frame.OK, host.asked().id(), "rev=1", Frame.MOST_BODY);
