Read again: an import nobody uses is gone, an attempt's first moment is read once

Found on reading the whole change: HostLinks imported Predicate for nothing, and Hosts.frame read the clock twice for one moment, so that the time waited and the moment of the first byte could differ. Behaviour is the same otherwise. Measured: WaitingTest, ClosingTest, NodeTest and the test of the architecture pass.

--- a/src/main/java/brooklock/platform/HostLinks.java
+++ b/src/main/java/brooklock/platform/HostLinks.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/brooklock/platform/Hosts.java
+++ b/src/main/java/brooklock/platform/Hosts.java
@@ -160,11 +160,12 @@
     }
 
     private ByteBuffer frame(Try t) {
-        long waitedNs = engine.now() - t.sentAtNs;
+        long now = engine.now();
+        long waitedNs = now - t.sentAtNs;
         if (t.over || t.job.closed || waitedNs > t.get.beginWithinNs() || !standing(t)) {
             return null;
         }
-        t.begunAtNs = engine.now();
+        t.begunAtNs = now;
         return frame(t, table.get(t.get.host()), table.get(t.get.source()), t.get.limitNs() - waitedNs);
     }
 
