--- a/review/standin/Load.java
+++ b/review/standin/Load.java
@@ -86,4 +86,13 @@
         }
         return ends;
     }
+
+    /** Writes all requests and their ends to the record. */
+    void dump(Record record) {
+        synchronized (calls) {
+            for (Client.Call c : calls) {
+                record.raw(String.format("%7d  sent: %s", c.sentMs - record.startMs, c));
+            }
+        }
+    }
 }
--- a/review/standin/SpoiltAnswers.java
+++ b/review/standin/SpoiltAnswers.java
@@ -32,6 +32,7 @@
                 }
             }
             (stopShort ? cut : whole).incrementAndGet();
+            record.line(String.format("%s answers %016x, %d bytes%s", host.name, request.id, frame.length, stopShort ? ", stops short" : ""));
             request.connection.write(frame);
         };
         List<String> entries = new ArrayList<>();
@@ -86,6 +87,7 @@
         for (String line : dispatcher.log().split("\n")) {
             record.raw("its log: " + line.substring(0, Math.min(300, line.length())));
         }
+        load.dump(record);
         dispatcher.end();
         record.end(lost.isEmpty() && alive && well ? 0 : 1, lost.isEmpty() && alive && well
                 ? "held: " + load.calls.size() + " requests, all answered"
