Review case 1: spoil 30% of the answers and tell a link that carries the load

Change: 30%, inside the 18 to 34% that a users' page names for lost answers, and a link of 60 MB a second.

--- a/review/standin/SpoiltAnswers.java
+++ b/review/standin/SpoiltAnswers.java
@@ -9,7 +9,7 @@
 final class SpoiltAnswers {
     private static final int BODY_BYTES = 240_000; // PROTOCOL.md: an object may contain any bytes, up to 240,000
     private static final double PER_SECOND = 160; // DAYS.md: up to 170 requests a second
-    private static final double SPOILT = 0.25;
+    private static final double SPOILT = 0.3; // LATER.md: 18 to 34% of the answers never arrive
     private static final int SLACK_MS = 500; // STANDING.md: up to half a second after its time it only earns nothing
     private static volatile boolean spoil;
 
@@ -45,7 +45,8 @@
         Dispatcher dispatcher = new Dispatcher();
         try {
             dispatcher.start(Settings.config(dispatcher.port, channel.address(), entries, 1024, Settings.shopLanes(),
-                    "[false,false,true]", "[0,0,0]"));
+                    "[false,false,true]", "[0,0,0]").replace("\"flow_bytes_per_s\":310000,\"link_bytes_per_s\":1240000",
+                    "\"flow_bytes_per_s\":7600000,\"link_bytes_per_s\":60000000"));
         } catch (Exception e) {
             record.end(2, "could not run: " + e);
         }
