Keep a silent discovery connection open beside the next one

Cause: a wait that reset itself. DiscoveryClient closed a connection without a whole line for 1.6 s and asked again on a new one, where the service began its 2 s anew; the same for a connect above 1 s and for a long line on its way. Change: silence opens another connection beside the silent one; the first that delivers a line is kept. At most three are open: the oldest, one that stays beside a dead oldest, and one that is replaced. A connection ends after 8 s without a line, doubled up to 64 s until one comes. It works because no wait is cut short by the next, and numbers are taken once.

--- a/src/main/java/brooklock/platform/DiscoveryClient.java
+++ b/src/main/java/brooklock/platform/DiscoveryClient.java
@@ -1,10 +1,9 @@
 package brooklock.platform;
 
-import brooklock.net.ConnectAttempt;
 import brooklock.net.IoLoop;
-import brooklock.net.RawConnection;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -12,21 +11,26 @@
 
 /**
  * Receives the events of the discovery service in sequence and delivers each of them once, over
- * connections that may be lost, stop sending or repeat events. Not thread-safe; owned by the I/O
- * thread.
+ * connections that may be slow, be lost, stop sending or repeat events. Not thread-safe; owned by
+ * the I/O thread.
  *
- * <p>The client connects, requests the events after the last one that it has received, and reads
- * until the connection is closed, no line has arrived for too long, or an event is missing. Then it
- * waits for a backoff and reconnects. No event is delivered twice, because at most one connection
- * is open at a time and each sequence number is accepted only once.
+ * <p>The client connects, requests the events after the last one that it has received, and reads.
+ * When the connection closes or becomes silent, the client waits for a backoff and opens another. A
+ * silent connection stays open beside the new one: the service may only be slow, and would never be
+ * heard if each wait for it were cut short and begun again. The first connection that delivers a
+ * line is kept and the others are closed. No event is delivered twice, because each sequence number
+ * is accepted only once.
  */
-final class DiscoveryClient implements RawConnection.EventListener {
+final class DiscoveryClient implements DiscoveryConnection.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(DiscoveryClient.class);
-    // Time within which a connection must be established, ns.
-    private static final long CONNECT_TIMEOUT_NS = 1_000_000_000L;
-    // Time without a line after which the connection is considered lost, ns; the service sends a
-    // heartbeat each second.
-    private static final long SILENCE_TIMEOUT_NS = 1_600_000_000L;
+    // Maximum number of open connections. When it is reached, the newest makes room for the next:
+    // the oldest may be dead, the second is kept so that a slow service is heard nevertheless, and
+    // the newest is replaced so that a service which has recovered is heard soon.
+    private static final int MAX_CONNECTIONS = 3;
+    // Time without a line after which a connection is closed, ns. It doubles each time it ends, so
+    // that a service which is slower than that is heard, too, until a line is received.
+    private static final long INITIAL_PATIENCE_NS = 8_000_000_000L;
+    private static final long MAX_PATIENCE_NS = 64_000_000_000L;
     // Backoff before reconnecting, ns; it doubles with each reconnect until an event is received.
     private static final long INITIAL_BACKOFF_NS = 100_000_000L;
     private static final long MAX_BACKOFF_NS = 500_000_000L;
@@ -39,14 +43,14 @@
     private final IoLoop loop;
     private final Consumer<DiscoveryEvent> eventListener;
     private final SplittableRandom random;
+    // The open connections, the oldest first.
+    private final List<DiscoveryConnection> connections = new ArrayList<>(MAX_CONNECTIONS);
     private InetSocketAddress address;
     private long lastSequence;
-    private ConnectAttempt connectAttempt;
-    private RawConnection connection;
-    private DiscoveryEventDecoder decoder;
+    private long patienceNs = INITIAL_PATIENCE_NS;
     private long backoffNs = INITIAL_BACKOFF_NS;
-    // Incremented by each connect and each scheduled reconnect. A scheduled reconnect whose
-    // generation is no longer current does nothing.
+    // Incremented by each connect, each scheduled reconnect and each line. A scheduled reconnect
+    // whose generation is no longer current does nothing.
     private int connectGeneration;
 
     /**
@@ -78,49 +82,24 @@
     void changeAddress(InetSocketAddress newAddress) {
         if (!newAddress.equals(address)) {
             address = newAddress;
+            patienceNs = INITIAL_PATIENCE_NS;
             backoffNs = INITIAL_BACKOFF_NS;
-            disconnect();
+            connections.forEach(DiscoveryConnection::close);
+            connections.clear();
             scheduleConnect();
         }
     }
 
-    /** Closes the current connection, if any, and opens a new one. */
+    /**
+     * Opens a connection. If the maximum number of connections is open, the newest of them is
+     * closed.
+     */
     void connect() {
-        disconnect();
         connectGeneration++;
-        connectAttempt =
-                ConnectAttempt.connect(
-                        loop,
-                        address,
-                        CONNECT_TIMEOUT_NS,
-                        this::onConnected,
-                        this::onConnectionLost);
-    }
-
-    private void disconnect() {
-        if (connectAttempt != null) {
-            connectAttempt.cancel();
-        }
-        if (connection != null) {
-            connection.close();
-            connection = null;
+        if (connections.size() == MAX_CONNECTIONS) {
+            connections.remove(MAX_CONNECTIONS - 1).close();
         }
-    }
-
-    private void onConnected(RawConnection connected) {
-        connection = connected;
-        decoder = new DiscoveryEventDecoder();
-        connected.setTimeout(SILENCE_TIMEOUT_NS);
-        connected.start(this);
-        connected.write(DiscoveryEventDecoder.encodeResume(lastSequence));
-    }
-
-    private void onConnectionLost(String reason) {
-        LOG.info(
-                "connection to the discovery service at {} lost: {}; reconnecting after a backoff",
-                address,
-                reason);
-        scheduleConnect();
+        connections.add(new DiscoveryConnection(loop, address, patienceNs, this));
     }
 
     private void scheduleConnect() {
@@ -136,21 +115,22 @@
     }
 
     @Override
-    public void onBytes(ByteBuffer input) {
-        try {
-            for (DiscoveryEvent event = decoder.next(input);
-                    event != null;
-                    event = decoder.next(input)) {
-                connection.setTimeout(SILENCE_TIMEOUT_NS);
-                backoffNs = INITIAL_BACKOFF_NS;
-                onEvent(event);
-            }
-        } catch (MalformedMessageException e) {
-            reconnect(e.getMessage());
+    public long lastSequence() {
+        return lastSequence;
+    }
+
+    @Override
+    public void onEvent(DiscoveryConnection connection, DiscoveryEvent event)
+            throws MalformedMessageException {
+        checkNoEventIsMissing(event);
+        keepOnly(connection);
+        if (!(event instanceof DiscoveryEvent.Heartbeat) && event.sequence() == lastSequence + 1) {
+            lastSequence = event.sequence();
+            eventListener.accept(event);
         }
     }
 
-    private void onEvent(DiscoveryEvent event) throws MalformedMessageException {
+    private void checkNoEventIsMissing(DiscoveryEvent event) throws MalformedMessageException {
         if (event instanceof DiscoveryEvent.Heartbeat) {
             if (event.sequence() > lastSequence) {
                 throw new MalformedMessageException(
@@ -166,24 +146,50 @@
                             + lastSequence
                             + " but received sequence number "
                             + event.sequence());
-        } else if (event.sequence() == lastSequence + 1) {
-            lastSequence = event.sequence();
-            eventListener.accept(event);
         }
     }
 
-    private void reconnect(String reason) {
-        connection.close();
-        onConnectionLost(reason);
+    private void keepOnly(DiscoveryConnection heard) {
+        connectGeneration++;
+        patienceNs = INITIAL_PATIENCE_NS;
+        backoffNs = INITIAL_BACKOFF_NS;
+        if (connections.size() > 1) {
+            connections.stream()
+                    .filter(connection -> connection != heard)
+                    .forEach(DiscoveryConnection::close);
+            connections.removeIf(connection -> connection != heard);
+        }
     }
 
     @Override
-    public void onTimeout() {
-        reconnect("no line received for " + SILENCE_TIMEOUT_NS / 1_000_000 + " ms");
+    public void onSilent(DiscoveryConnection connection) {
+        if (isNewest(connection)) {
+            LOG.info(
+                    "no line from the discovery service at {}; opening a connection beside the {}"
+                            + " open ones after a backoff",
+                    address,
+                    connections.size());
+            scheduleConnect();
+        }
     }
 
     @Override
-    public void onClose(String reason) {
-        onConnectionLost(reason);
+    public void onClosed(DiscoveryConnection connection, String reason, boolean patienceEnded) {
+        LOG.info(
+                "connection to the discovery service at {} lost: {}; reconnecting after a backoff",
+                address,
+                reason);
+        if (patienceEnded) {
+            patienceNs = Math.min(MAX_PATIENCE_NS, patienceNs * 2);
+        }
+        boolean wasNewest = isNewest(connection);
+        connections.remove(connection);
+        if (wasNewest) {
+            scheduleConnect();
+        }
+    }
+
+    private boolean isNewest(DiscoveryConnection connection) {
+        return connections.get(connections.size() - 1) == connection;
     }
 }
--- a/src/main/java/brooklock/platform/PlatformDispatcher.java
+++ b/src/main/java/brooklock/platform/PlatformDispatcher.java
@@ -25,8 +25,8 @@
 public final class PlatformDispatcher implements Closeable {
     private static final Logger LOG = LoggerFactory.getLogger(PlatformDispatcher.class);
     // File descriptors reserved for the process itself: jars, selectors, the listening socket and
-    // the connection to the discovery service.
-    private static final int RESERVED_DESCRIPTORS = 56;
+    // the connections to the discovery service.
+    private static final int RESERVED_DESCRIPTORS = 58;
     // Fraction of the unreserved descriptors that clients may use; endpoints use the rest. The
     // protocol grants clients a third of all descriptors.
     private static final double CLIENT_DESCRIPTOR_FRACTION = 0.5;
--- a/src/test/java/brooklock/platform/DiscoveryClientTest.java
+++ b/src/test/java/brooklock/platform/DiscoveryClientTest.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.extension.RegisterExtension;
@@ -27,7 +28,7 @@
     private static String readLine(Socket socket) throws IOException {
         StringBuilder line = new StringBuilder();
         for (int b = socket.getInputStream().read();
-                b != '\n';
+                b != '\n' && b >= 0;
                 b = socket.getInputStream().read()) {
             line.append((char) b);
         }
@@ -111,6 +112,80 @@
         }
     }
 
+    /**
+     * Guards against a slow discovery service that is never heard, so that purges and drains are
+     * missed: the client closed each connection after 1.6 s without a line and began to wait again.
+     * Here the service answers the first connection only once the client has opened a second.
+     */
+    @Test
+    void aServiceThatAnswersLateIsHeard() throws Exception {
+        loopback.start(FakeEndpoint.serving(BODY));
+        try (Socket first = loopback.acceptDiscoveryClient()) {
+            assertEquals("resume 1", readLine(first));
+            try (Socket second = loopback.acceptDiscoveryClient()) {
+                assertEquals("resume 1", readLine(second));
+                writeLine(first, cacheListUpdate(2, loopback.cache(0), "left"));
+                assertEquals(-1, second.getInputStream().read(), "the other connection is closed");
+                requestUntilServedByOrigin();
+            }
+        }
+    }
+
+    /**
+     * Guards against a slow discovery service that is never heard because an older connection is
+     * dead: of the connections after it, one must stay open until it is answered, while a further
+     * one is replaced again and again.
+     */
+    @Test
+    void aServiceThatAnswersLateIsHeardBesideADeadConnection() throws Exception {
+        loopback.start(FakeEndpoint.serving(BODY));
+        try (Socket dead = loopback.acceptDiscoveryClient();
+                Socket late = loopback.acceptDiscoveryClient();
+                Socket replaced = loopback.acceptDiscoveryClient();
+                Socket newest = loopback.acceptDiscoveryClient()) {
+            assertEquals("resume 1", readLine(replaced));
+            assertEquals(-1, replaced.getInputStream().read(), "three connections at most");
+            assertEquals("resume 1", readLine(late));
+            assertEquals("resume 1", readLine(newest));
+            writeLine(late, cacheListUpdate(2, loopback.cache(0), "left"));
+            requestUntilServedByOrigin();
+            assertEquals(-1, newest.getInputStream().read(), "the other connections are closed");
+            assertEquals("resume 1", readLine(dead));
+            assertEquals(-1, dead.getInputStream().read(), "the other connections are closed");
+        }
+    }
+
+    /**
+     * Guards against a long event that is never heard: its line takes longer than a connection may
+     * be silent. The client must go on reading it while it opens another connection.
+     */
+    @Test
+    void aLineThatTakesLongIsReadToItsEnd() throws Exception {
+        loopback.start(FakeEndpoint.serving(BODY));
+        byte[] line =
+                (cacheListUpdate(2, loopback.cache(0), "left") + "\n")
+                        .getBytes(StandardCharsets.UTF_8);
+        try (Socket first = loopback.acceptDiscoveryClient()) {
+            assertEquals("resume 1", readLine(first));
+            first.getOutputStream().write(line, 0, 20);
+            try (Socket second = loopback.acceptDiscoveryClient()) {
+                assertEquals("resume 1", readLine(second));
+                first.getOutputStream().write(line, 20, line.length - 20);
+                requestUntilServedByOrigin();
+            }
+        }
+    }
+
+    // The only cache has left the list once the origin serves; the test's time-out is the limit.
+    private void requestUntilServedByOrigin() throws Exception {
+        // The dispatcher closes a client that says nothing for a while, so a new one is used.
+        RpcTestClient client = loopback.newClient();
+        for (int i = 1; loopback.origin().received.isEmpty(); i++) {
+            assertArrayEquals(BODY, client.request(i, 0x60 + i, 0x95, 2000).body());
+            TimeUnit.MILLISECONDS.sleep(2);
+        }
+    }
+
     /**
      * The configuration is reloaded while it is being written, so that the first read finds only
      * part of it. The dispatcher must read it again and connect to the new address of the discovery
