Let no single declared size move a learned mean or limit far

Cause: WorkEstimator took the size at its word; one answer moved the mean of its class by hours, and SlowStart.onServed added it to the rate that refills a cold cache's budget. The same figure reached the mean of all requests, the work in flight, the limits and the pause of a link. A tighter range for the field would hide the case and mend none of this. Change: a declared size above the mean counts for at most the time its response took; a sample counts for at most ten times the mean it updates; in flight a size counts for at most a hundred times the class's mean; a link's pause has a maximum of 10 s.

--- a/src/main/java/brooklock/routing/ConcurrencyLimit.java
+++ b/src/main/java/brooklock/routing/ConcurrencyLimit.java
@@ -45,6 +45,12 @@
      */
     private static final double MAX_DECREASE_SHARE = 0.25;
 
+    /**
+     * Maximum pause, in nanoseconds, after a request that exceeds the limit on its own. The work of
+     * one request is an estimate, and must not close a link for longer than congestion lasts.
+     */
+    private static final double MAX_PAUSE_NS = 10e9;
+
     /** Share of late responses at which a link is considered congested and gets a limit. */
     private static final double CONGESTED_LATE_SHARE = 0.15;
 
@@ -108,7 +114,8 @@
      * Returns whether work may start. A request that exceeds the limit on its own is admitted only
      * on an idle link; without this exception it would never be served. After such a request, the
      * next one that exceeds the limit is admitted only when a pause has ended. The pause is chosen
-     * so that the mean work in flight, averaged over the request and the pause, equals the limit.
+     * so that the mean work in flight, averaged over the request and the pause, equals the limit,
+     * but it has a maximum.
      */
     boolean admits(double workNs, long now) {
         return inFlightNs + workNs <= limitNs || (inFlightNs <= 0 && now >= pausedUntilNs);
@@ -121,7 +128,8 @@
     void release(double workNs, long now) {
         inFlightNs = Math.max(0, inFlightNs - workNs);
         if (workNs > limitNs) {
-            pausedUntilNs = now + (long) (workNs * (workNs / limitNs - 1));
+            double pauseNs = Math.min(MAX_PAUSE_NS, workNs * (workNs / limitNs - 1));
+            pausedUntilNs = now + (long) pauseNs;
         }
     }
 
--- a/src/main/java/brooklock/routing/FillAdmission.java
+++ b/src/main/java/brooklock/routing/FillAdmission.java
@@ -132,7 +132,11 @@
             ConcurrencyLimit limit =
                     limitToUpdate(attempt, completed, beforeObjective || responseLost);
             if (limit != null) {
-                limit.onResponse(onTime, request.workNs, meanWorkNs);
+                double workNs =
+                        completed.outcome() == AttemptOutcome.OK
+                                ? request.confirmedWorkNs(completed, meanWorkNs)
+                                : request.workNs;
+                limit.onResponse(onTime, workNs, meanWorkNs);
             }
         }
         updateMissRatios(request, attempt, completed);
--- a/src/main/java/brooklock/routing/PendingRequest.java
+++ b/src/main/java/brooklock/routing/PendingRequest.java
@@ -110,6 +110,19 @@
         return completed.durationNs() < objectiveAtNs - acceptedAtNs;
     }
 
+    /**
+     * Returns the work of a successful response in nanoseconds. A transfer takes no longer than its
+     * response, whatever size the client declared: a declared size above the mean counts for at
+     * most the time that the response took.
+     *
+     * @param meanNs the mean work with which the response is compared, in nanoseconds
+     */
+    double confirmedWorkNs(AttemptCompleted completed, double meanNs) {
+        return event.sizeKb() > 0
+                ? Math.min(workNs, Math.max(completed.durationNs(), meanNs))
+                : workNs;
+    }
+
     /**
      * Returns whether an attempt that was admitted to the origin has been sent to the endpoint. An
      * attempt whose response is missing does not count: the endpoint is alive, so the request may
--- a/src/main/java/brooklock/routing/WorkEstimator.java
+++ b/src/main/java/brooklock/routing/WorkEstimator.java
@@ -8,11 +8,21 @@
  * takes. All limits and budgets count work, so that one large response weighs as much as many small
  * ones. The estimate uses the declared size if there is one, else the shortest response time
  * observed for the object, else the mean of the request class.
+ *
+ * <p>A declared size is the claim of a client, and a response time may contain a delay that has
+ * nothing to do with the response. No single one of them may therefore move a mean far: all limits
+ * and budgets depend on the means.
  */
 final class WorkEstimator {
     /** Weight of a new sample in a mean. */
     private static final double MEAN_WEIGHT = 0.05;
 
+    /** A sample counts for at most this multiple of the mean that it updates. */
+    private static final double MAX_SAMPLE_MULTIPLE = 10;
+
+    /** A declared size counts for at most this multiple of the mean work of its class. */
+    private static final double MAX_DECLARED_MULTIPLE = 100;
+
     private final double transferKbPerSecond;
     private final double[] classMeanNs;
     private double meanNs;
@@ -27,13 +37,16 @@
 
     /**
      * Returns the estimated work of a request in nanoseconds: from its declared size if there is
-     * one, else the shortest response time observed for the object, else the mean of its class.
+     * one, up to a multiple of the mean of its class, else the shortest response time observed for
+     * the object, else the mean of its class.
      */
     double estimate(RequestReceived request, ObjectDemand demand) {
+        double meanOfClassNs = classMeanNs[request.classIndex()];
         if (request.sizeKb() > 0 && transferKbPerSecond > 0) {
-            return request.sizeKb() / transferKbPerSecond * 1e9;
+            double declaredNs = request.sizeKb() / transferKbPerSecond * 1e9;
+            return Math.min(declaredNs, MAX_DECLARED_MULTIPLE * meanOfClassNs);
         }
-        return demand.workNs > 0 ? demand.workNs : classMeanNs[request.classIndex()];
+        return demand.workNs > 0 ? demand.workNs : meanOfClassNs;
     }
 
     /** Returns the mean work of all requests that caches serve, in nanoseconds. */
@@ -49,10 +62,15 @@
         return classMeanNs[request.event.classIndex()];
     }
 
+    /** Updates the mean work of all requests, which the first request sets. */
     void onAccepted(PendingRequest request) {
-        if (!request.requestClass.passThrough()) {
-            meanNs += (meanNs == 0 ? 1 : MEAN_WEIGHT) * (request.workNs - meanNs);
+        if (request.requestClass.passThrough()) {
+            return;
         }
+        meanNs =
+                meanNs == 0
+                        ? Math.min(request.workNs, classMeanNs(request))
+                        : updatedMean(meanNs, request.workNs);
     }
 
     /**
@@ -62,11 +80,18 @@
     void onSuccess(PendingRequest request, AttemptCompleted completed) {
         boolean sizeDeclared = request.event.sizeKb() > 0;
         if (sizeDeclared || completed.cacheStatus() == CacheStatus.HIT) {
-            double workNs = sizeDeclared ? request.workNs : completed.durationNs();
             int classIndex = request.event.classIndex();
-            classMeanNs[classIndex] += MEAN_WEIGHT * (workNs - classMeanNs[classIndex]);
+            double workNs =
+                    sizeDeclared
+                            ? request.confirmedWorkNs(completed, classMeanNs[classIndex])
+                            : completed.durationNs();
+            classMeanNs[classIndex] = updatedMean(classMeanNs[classIndex], workNs);
             ObjectDemand demand = request.demand;
             demand.workNs = demand.workNs == 0 ? workNs : Math.min(demand.workNs, workNs);
         }
     }
+
+    private static double updatedMean(double mean, double sample) {
+        return mean + MEAN_WEIGHT * (Math.min(sample, MAX_SAMPLE_MULTIPLE * mean) - mean);
+    }
 }
--- a/src/test/java/brooklock/routing/ConcurrencyLimitTest.java
+++ b/src/test/java/brooklock/routing/ConcurrencyLimitTest.java
@@ -66,6 +66,21 @@
         assertTrue(limit.admits(REQUEST_NS, 991 * MS));
     }
 
+    /**
+     * Guards against a link that one request closes for hours: the work of a request is an
+     * estimate, which a client may have declared.
+     */
+    @Test
+    void thePauseAfterALargeRequestIsBounded() {
+        ConcurrencyLimit limit = ConcurrencyLimit.forOrigin(400);
+        respond(limit, false, 200);
+        double absurdNs = 100 * REQUEST_NS;
+        limit.acquire(absurdNs);
+        limit.release(absurdNs, 0);
+        assertFalse(limit.admits(REQUEST_NS, 9_999 * MS));
+        assertTrue(limit.admits(REQUEST_NS, 10_001 * MS));
+    }
+
     /**
      * Responses of unknown size may be late only because they are large. They must count for the
      * congestion of a link but must not lower its limit.
