Do not blame endpoints for clients that wait too briefly

Callers saw nothing yet; read in the code and shown in the router alone: time-outs of requests with a deadline of 30 ms eject a healthy endpoint, and twenty of them switch hedging on for everybody. Cause: OutlierDetector and HedgingPolicy counted a missing response whatever time the client had left it. Change: a time-out counts as a failure, or as a lost response, only if the client waits at least for the latency objective of the class (PendingRequest.waitsForObjective). On HTTP a client may shorten its deadline as well; the rule is the router's, so it holds there. Measured: both new tests of ClientFigureTest fail without the change and pass with it.

--- a/src/main/java/brooklock/routing/HedgingPolicy.java
+++ b/src/main/java/brooklock/routing/HedgingPolicy.java
@@ -66,7 +66,10 @@
     boolean onCompleted(
             PendingRequest request, Attempt attempt, AttemptCompleted completed, long now) {
         boolean ok = completed.outcome() == AttemptOutcome.OK;
-        boolean overdue = attempt.isResponseMissing() && now >= request.finalResponseAtNs;
+        boolean overdue =
+                attempt.isResponseMissing()
+                        && now >= request.finalResponseAtNs
+                        && request.waitsForObjective();
         Attempt firstAttempt = request.attempts.get(0);
         boolean lost =
                 (overdue && !ok)
--- a/src/main/java/brooklock/routing/OutlierDetector.java
+++ b/src/main/java/brooklock/routing/OutlierDetector.java
@@ -146,7 +146,8 @@
             recordOutcome(endpoint, true, now);
             recordOutcome(attempt.fillSource, status == CacheStatus.ORIGIN_FAILED, now);
         } else if ((outcome == AttemptOutcome.TIMEOUT
-                        && endpoint.health.noOutcomeSinceNs <= attempt.startedAtNs)
+                        && endpoint.health.noOutcomeSinceNs <= attempt.startedAtNs
+                        && request.waitsForObjective())
                 || outcome == AttemptOutcome.RESET
                 || outcome == AttemptOutcome.CONNECT_FAILED) {
             recordOutcome(endpoint, false, now);
--- a/src/main/java/brooklock/routing/PendingRequest.java
+++ b/src/main/java/brooklock/routing/PendingRequest.java
@@ -123,6 +123,14 @@
                 : workNs;
     }
 
+    /**
+     * Returns whether the client waits at least for the latency objective of the class. If it does
+     * not, a missing response says nothing about the endpoint.
+     */
+    boolean waitsForObjective() {
+        return event.deadlineNs() - acceptedAtNs >= requestClass.latencyObjectiveNs();
+    }
+
     /**
      * Returns whether an attempt that was admitted to the origin has been sent to the endpoint. An
      * attempt whose response is missing does not count: the endpoint is alive, so the request may
--- a/src/test/java/brooklock/routing/ClientFigureTest.java
+++ b/src/test/java/brooklock/routing/ClientFigureTest.java
@@ -2,22 +2,29 @@
 
 import static brooklock.routing.RouterFixture.MS;
 import static brooklock.routing.RouterFixture.PAGE;
+import static brooklock.routing.RouterFixture.actionsOfType;
 import static brooklock.routing.RouterFixture.firstAttempt;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brooklock.routing.RouterAction.SetTimer;
 import brooklock.routing.RouterAction.StartAttempt;
 import brooklock.routing.RouterEvent.AttemptCompleted;
 import brooklock.routing.RouterEvent.RequestReceived;
+import brooklock.routing.RouterEvent.TimerFired;
 import brooklock.routing.RouterSettings.RequestClass;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
-/** Tests that what clients declare moves no learned mean or rate far. */
+/** Tests that what clients declare, sizes and deadlines, moves no learned mean or rate far. */
 class ClientFigureTest {
     private static final double ABSURD_SIZE_KB = 999_999_999;
     private static final int MEDIA = 3;
+    private static final long SHORT_DEADLINE_NS = 30 * MS;
 
     // The settings of the fixture with one more class whose responses are cached.
     private static RouterSettings settings() {
@@ -158,4 +165,57 @@
         estimator.onAccepted(request);
         estimator.onSuccess(request, served(durationMs));
     }
+
+    /**
+     * Guards against endpoints that are ejected because clients wait too briefly: time-outs of
+     * requests whose deadline is shorter than the latency objective say nothing about an endpoint.
+     */
+    @Test
+    void shortDeadlinesEjectNoEndpoint() {
+        RouterFixture fixture = new RouterFixture().withEndpoints();
+        Set<Long> endpoints = new HashSet<>();
+        for (int i = 0; i < 40; i++) {
+            StartAttempt attempt =
+                    firstAttempt(
+                            fixture.onEvent(request(fixture, PAGE, 42, 50, SHORT_DEADLINE_NS)));
+            endpoints.add(attempt.endpoint());
+            fixture.now += SHORT_DEADLINE_NS;
+            fixture.complete(attempt, AttemptOutcome.TIMEOUT, CacheStatus.NONE, 30);
+        }
+        assertEquals(1, endpoints.size(), "the object stays at its cache");
+    }
+
+    /**
+     * Guards against hedging that clients with short deadlines switch on: their responses are not
+     * lost, they had no time to arrive.
+     */
+    @Test
+    void shortDeadlinesDoNotCountAsLostResponses() {
+        RouterFixture fixture = new RouterFixture().withEndpoints();
+        for (int i = 0; i < 20; i++) {
+            RequestReceived hasty = request(fixture, PAGE, 100 + i, 50, SHORT_DEADLINE_NS);
+            List<RouterAction> actions = fixture.onEvent(hasty);
+            fixture.now += 5 * MS;
+            fixture.serveRequest(PAGE, 100 + i);
+            SetTimer finalResponseTimer = actionsOfType(actions, SetTimer.class).get(0);
+            fixture.now = finalResponseTimer.atNs();
+            fixture.onEvent(new TimerFired(finalResponseTimer.token()));
+            fixture.onEvent(
+                    new AttemptCompleted(
+                            hasty.id(),
+                            0,
+                            firstAttempt(actions).endpoint(),
+                            AttemptOutcome.CANCELLED,
+                            CacheStatus.NONE,
+                            SHORT_DEADLINE_NS,
+                            0,
+                            true));
+        }
+        List<RouterAction> actions = fixture.onEvent(fixture.newRequest(PAGE, 500));
+        fixture.now += 20 * MS;
+        fixture.serveRequest(PAGE, 500);
+        SetTimer hedgeTimer = actionsOfType(actions, SetTimer.class).get(1);
+        fixture.now = hedgeTimer.atNs();
+        assertNull(firstAttempt(fixture.onEvent(new TimerFired(hedgeTimer.token()))));
+    }
 }
