Keep HTTP connections that come up after the connect timeout

Callers would see: requests to an endpoint whose handshakes take longer than the connect timeout all fail, for as long as it is slow. Cause: HttpConnectionPool gave such a connection up at the timeout and began another, which was delayed in the same way. Change: at the timeout the call that has waited longest fails as before, and the connection goes on, up to four timeouts; established late, it serves the next call. It keeps its place among the few that may be opened at once, so a slow endpoint gets no more handshakes.

--- a/src/main/java/brooklock/net/ClientLimits.java
+++ b/src/main/java/brooklock/net/ClientLimits.java
@@ -15,8 +15,8 @@
  * @param maxWaitingCalls maximum number of waiting calls in excess of the number of connections
  *     being established; a further call fails at once with {@link CallFailure#NOT_CONNECTED}
  * @param maxIdleConnections maximum number of idle connections kept for reuse
- * @param connectTimeoutNs maximum time to establish a connection, and maximum time that a call
- *     waits for one
+ * @param connectTimeoutNs maximum time that a call waits for a connection; a connection that is
+ *     established later, within a few times that time, serves later calls
  * @param idleTimeoutNs time after which an idle connection is closed; it must be shorter than the
  *     idle timeout of every endpoint, so that a request is rarely written to a connection that the
  *     endpoint is closing
--- a/src/main/java/brooklock/net/HttpConnectionPool.java
+++ b/src/main/java/brooklock/net/HttpConnectionPool.java
@@ -14,6 +14,9 @@
  * which they were submitted.
  */
 final class HttpConnectionPool {
+    /** A connection fails once it has been pending for this multiple of the connect timeout. */
+    private static final int MAX_CONNECT_TIMEOUTS = 4;
+
     private final IoLoop loop;
     private final InetSocketAddress address;
     private final ClientLimits limits;
@@ -24,8 +27,15 @@
     /** Number of all connections, including those being established. */
     private int openCount;
 
+    /** Number of connections being established, including overdue ones. */
     private int connectingCount;
 
+    /**
+     * Number of connections being established for longer than the connect timeout. No waiting call
+     * counts on them.
+     */
+    private int overdueCount;
+
     HttpConnectionPool(
             IoLoop loop, InetSocketAddress address, ClientLimits limits, JsseXnioSsl tls) {
         this.loop = loop;
@@ -40,7 +50,7 @@
         if (startOnIdle(call)) {
             return;
         }
-        if (waitingCalls.size() - connectingCount >= limits.maxWaitingCalls()) {
+        if (waitingCalls.size() - expectedCount() >= limits.maxWaitingCalls()) {
             call.fail(
                     CallFailure.NOT_CONNECTED,
                     "the maximum number of calls is already waiting for a connection");
@@ -76,38 +86,74 @@
         return false;
     }
 
+    private int expectedCount() {
+        return connectingCount - overdueCount;
+    }
+
     // Opens up to one connection for each waiting call, but only a few at a time: each connect
     // costs the endpoint CPU time (milliseconds with TLS), and a connection that becomes free may
-    // serve a call before a new one is established.
+    // serve a call before a new one is established. An overdue connection keeps its place among
+    // those few, so that a slow endpoint is not given more handshakes to make.
     private void connectMore() {
-        while (connectingCount < waitingCalls.size()
+        while (expectedCount() < waitingCalls.size()
                 && connectingCount < limits.maxConnecting()
                 && openCount < limits.maxConnections()) {
             openCount++;
             connectingCount++;
-            new PooledConnectAttempt(this, loop, address, tls).start(limits.connectTimeoutNs());
+            PooledConnectAttempt attempt = new PooledConnectAttempt(this, loop, address, tls);
+            attempt.start(MAX_CONNECT_TIMEOUTS * limits.connectTimeoutNs());
+            loop.schedule(limits.connectTimeoutNs(), attempt::becomeOverdue);
         }
     }
 
-    /** Called when a connection, including its TLS handshake, has been established. */
-    void onConnected(StreamConnection channel) {
-        connectingCount--;
+    /**
+     * Called when a connection has not been established within the connect timeout. The call that
+     * has waited longest fails, since waiting calls are not bound to particular attempts. The
+     * attempt goes on: a new one would be delayed in the same way, and a connection that is
+     * established late serves later calls.
+     */
+    void onOverdue() {
+        overdueCount++;
+        failLongestWaiting("no connection in time");
+        connectMore();
+    }
+
+    /**
+     * Called when a connection, including its TLS handshake, has been established.
+     *
+     * @param overdue whether {@link #onOverdue} has been called for it
+     */
+    void onConnected(StreamConnection channel, boolean overdue) {
+        onConnectEnded(overdue);
         release(new HttpClientConnection(this, loop, channel, limits));
         connectMore();
     }
 
     /**
      * Called when a connect attempt has failed. The call that has waited longest fails for the same
-     * reason, since waiting calls are not bound to particular attempts.
+     * reason, unless a call has failed already because the attempt was overdue.
+     *
+     * @param overdue whether {@link #onOverdue} has been called for the attempt
      */
-    void onConnectFailed(String reason) {
-        connectingCount--;
+    void onConnectFailed(String reason, boolean overdue) {
+        onConnectEnded(overdue);
         openCount--;
+        if (!overdue) {
+            failLongestWaiting(reason);
+        }
+        connectMore();
+    }
+
+    private void onConnectEnded(boolean overdue) {
+        connectingCount--;
+        overdueCount -= overdue ? 1 : 0;
+    }
+
+    private void failLongestWaiting(String reason) {
         ClientCall longestWaiting = waitingCalls.pollFirst();
         if (longestWaiting != null) {
             longestWaiting.fail(CallFailure.NOT_CONNECTED, reason);
         }
-        connectMore();
     }
 
     /**
--- a/src/main/java/brooklock/net/PooledConnectAttempt.java
+++ b/src/main/java/brooklock/net/PooledConnectAttempt.java
@@ -23,6 +23,7 @@
     private final JsseXnioSsl tls;
     private StreamConnection established;
     private boolean handshakeDone;
+    private boolean overdue;
 
     /** Creates an attempt, not yet started; {@code tls} is null for a connection without TLS. */
     PooledConnectAttempt(
@@ -64,7 +65,15 @@
     void fail(String reason) {
         if (settle()) {
             IoUtils.safeClose(established);
-            pool.onConnectFailed(reason);
+            pool.onConnectFailed(reason, overdue);
+        }
+    }
+
+    /** Called when the connect timeout has passed; the attempt goes on. */
+    void becomeOverdue() {
+        if (!isSettled()) {
+            overdue = true;
+            pool.onOverdue();
         }
     }
 
@@ -121,7 +130,7 @@
 
     private void onEstablished() {
         if (settle()) {
-            pool.onConnected(established);
+            pool.onConnected(established, overdue);
         }
     }
 }
--- a/src/test/java/brooklock/net/HttpConnectionPoolTest.java
+++ b/src/test/java/brooklock/net/HttpConnectionPoolTest.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -69,20 +70,29 @@
         final AtomicInteger accepted = new AtomicInteger();
 
         ThrottledProxy(InetSocketAddress target, int forwardedConnections) throws IOException {
-            start("narrow", () -> accept(target, forwardedConnections));
+            this(target, forwardedConnections, new CountDownLatch(0));
         }
 
-        private void accept(InetSocketAddress target, int forwardedConnections) {
+        /** Creates a proxy that forwards nothing until the latch is open. */
+        ThrottledProxy(
+                InetSocketAddress target, int forwardedConnections, CountDownLatch mayForward)
+                throws IOException {
+            start("narrow", () -> accept(target, forwardedConnections, mayForward));
+        }
+
+        private void accept(
+                InetSocketAddress target, int forwardedConnections, CountDownLatch mayForward) {
             try {
                 while (true) {
                     Socket from = serverSocket.accept();
                     if (accepted.incrementAndGet() <= forwardedConnections) {
+                        mayForward.await();
                         Socket to = new Socket(target.getAddress(), target.getPort());
                         start("pipe", () -> pipe(from, to));
                         start("pipe", () -> pipe(to, from));
                     }
                 }
-            } catch (IOException closed) {
+            } catch (IOException | InterruptedException closed) {
                 // The test is over.
             }
         }
@@ -213,6 +223,28 @@
         ioThreads.loop(0).execute(() -> exchange.send(200, new Fields(), new byte[0]));
     }
 
+    /**
+     * Guards against an endpoint that is never reached because its connections take longer than the
+     * connect timeout: each was given up and begun again. Here the first connection goes on only
+     * after its call has failed, and no other connection ever does.
+     */
+    @Test
+    void aConnectionThatIsEstablishedLateServesTheNextCall() throws Exception {
+        HttpListener endpoint = listen(exchange -> exchange.send(200, new Fields(), new byte[0]));
+        CountDownLatch firstCallFailed = new CountDownLatch(1);
+        try (ThrottledProxy proxy = new ThrottledProxy(endpoint.address(), 1, firstCallFailed)) {
+            HttpClient httpClient = newHttpClient(limits(1, 2_000_000_000L), clientTls);
+            RecordingHandler first = startCall(httpClient, proxy.address(), new Fields());
+            assertTrue(first.awaitOutcome().startsWith("NOT_CONNECTED"), first.awaitOutcome());
+            firstCallFailed.countDown();
+            RecordingHandler second = startCall(httpClient, proxy.address(), new Fields());
+            assertEquals("whole", second.awaitOutcome());
+            assertEquals(1, proxy.accepted.get(), "no further connection is opened");
+        } finally {
+            endpoint.close();
+        }
+    }
+
     /** If nothing listens at the address, each call must fail at once and not after its timeout. */
     @Test
     void callsFailAtOnceWhereNothingListens() throws Exception {
