Count the output that waits for clients with the memory that it takes

Cause: the bound counted the bytes of pending responses, a dozen of a health check that takes half a kilobyte; the output of a connection that closes gracefully counted as none. Change: ClientConnection.pendingWriteBytes counts the buffers as well, and goes on counting while the connection closes.

--- a/src/main/java/brooklock/net/RawConnection.java
+++ b/src/main/java/brooklock/net/RawConnection.java
@@ -143,6 +143,11 @@
         return writeQueue.pendingBytes();
     }
 
+    /** Returns the number of buffers that are queued to be written. */
+    public int pendingBuffers() {
+        return writeQueue.pendingBuffers();
+    }
+
     /** Returns the number of bytes that the socket has accepted since the connection was opened. */
     public long writtenBytes() {
         return writeQueue.writtenBytes();
--- a/src/main/java/brooklock/net/WriteQueue.java
+++ b/src/main/java/brooklock/net/WriteQueue.java
@@ -77,6 +77,11 @@
         return addedBytes - writtenBytes;
     }
 
+    /** Returns the number of buffers that are queued to be written. */
+    int pendingBuffers() {
+        return tail - head;
+    }
+
     /** Returns the number of bytes that the socket has accepted since the connection was opened. */
     long writtenBytes() {
         return writtenBytes;
--- a/src/main/java/brooklock/platform/ClientConnection.java
+++ b/src/main/java/brooklock/platform/ClientConnection.java
@@ -40,8 +40,13 @@
     // Time for a client to close its side after output has been shut down, ns; enough for many
     // round trips.
     private static final long CLOSE_TIMEOUT_NS = 1_000_000_000L;
-    // Reading from a client is suspended while more bytes than this wait to be written to it.
+    // Reading from a client is suspended while the output that waits to be written to it takes more
+    // memory than this.
     private static final long MAX_PENDING_WRITE_BYTES = 512 * 1024;
+    // Memory of a queued buffer beyond the bytes that it holds: the unused rest of its capacity and
+    // two objects. A short response has a dozen bytes, so that counting them alone would count next
+    // to nothing.
+    private static final long BUFFER_OVERHEAD_BYTES = RpcEncoder.HEAD_CAPACITY_BYTES + 64;
 
     private final ClientListener listener;
     private final RawConnection transport;
@@ -107,9 +112,12 @@
         return hasSentMessage;
     }
 
-    /** Returns the number of bytes that wait to be written; 0 if the connection is closed. */
+    /**
+     * Returns the memory of the output that waits to be written, bytes. A connection that closes
+     * gracefully keeps its output until it has been written.
+     */
     long pendingWriteBytes() {
-        return transport.isClosed() ? 0 : transport.pendingBytes();
+        return transport.pendingBytes() + transport.pendingBuffers() * BUFFER_OVERHEAD_BYTES;
     }
 
     /**
@@ -321,7 +329,7 @@
             writtenBytesAtLastCheck = transport.writtenBytes();
             transport.setTimeout(WRITE_STALL_TIMEOUT_NS);
         }
-        if (transport.pendingBytes() > MAX_PENDING_WRITE_BYTES) {
+        if (pendingWriteBytes() > MAX_PENDING_WRITE_BYTES) {
             transport.setReading(false);
         }
         if (transport.pendingBytes() > 0) {
--- a/src/main/java/brooklock/platform/ClientListener.java
+++ b/src/main/java/brooklock/platform/ClientListener.java
@@ -167,8 +167,8 @@
     }
 
     /**
-     * Called when a client has not read all of its output yet. Closes the connection with the most
-     * pending bytes if the pending bytes of all connections exceed the bound.
+     * Called when a client has not read all of its output yet. Closes the connection whose pending
+     * output takes the most memory if that of all connections exceeds the bound.
      */
     void onWriteBacklog() {
         long pendingBytes = 0;
--- a/src/main/java/brooklock/platform/RpcEncoder.java
+++ b/src/main/java/brooklock/platform/RpcEncoder.java
@@ -25,7 +25,7 @@
 final class RpcEncoder {
     // Buffer capacity for everything but the body: fixed elements, an error name and a few short
     // fields.
-    private static final int HEAD_CAPACITY_BYTES = 512;
+    static final int HEAD_CAPACITY_BYTES = 512;
     private static final long NS_PER_MS = 1_000_000L;
 
     private static final int MESSAGE_ARRAY = FIXARRAY | 4;
--- a/src/test/java/brooklock/platform/ClientLimitTest.java
+++ b/src/test/java/brooklock/platform/ClientLimitTest.java
@@ -2,13 +2,16 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import brooklock.net.RawConnection;
 import brooklock.routing.EndpointState;
 import brooklock.routing.RouterEvent.AttemptCompleted;
 import brooklock.routing.RouterEvent.RequestReceived;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -35,6 +38,19 @@
         fixture.close();
     }
 
+    /** The client's side of a connection; ignores all events. */
+    private static final class SilentPeer implements RawConnection.EventListener {
+        @Override
+        public void onBytes(ByteBuffer input) {
+            input.position(input.limit());
+        }
+
+        @Override
+        public void onClose(String reason) {
+            // The test asks the dispatcher's side.
+        }
+    }
+
     private static byte[] write(long messageId, long id, int bodyBytes) {
         Map<String, String> fields = RpcTestClient.fields(id, 0x7f, 2000);
         fields.put("k", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
@@ -124,4 +140,33 @@
         }
         assertEquals(0, fixture.onIoThread(fixture.clientListener::connectionCount));
     }
+
+    /**
+     * Guards against short responses that fill the heap: a client sends health checks and reads no
+     * responses. Each takes half a kilobyte of memory but has a dozen bytes. They must count with
+     * their memory, so that reading from the client is suspended in time.
+     */
+    @Test
+    void shortResponsesThatAreNotReadCountWithTheirMemory() throws Exception {
+        int healthChecks = 20_000;
+        int responseBytes = 12;
+        ClientConnection connection =
+                fixture.onIoThread(
+                        () -> {
+                            RawConnection[] pair = RawConnection.pair(fixture.loop);
+                            pair[1].start(new SilentPeer());
+                            pair[1].setReading(false);
+                            for (int i = 1; i <= healthChecks; i++) {
+                                pair[1].write(RpcEncoder.healthCheck(i));
+                            }
+                            ClientConnection accepted =
+                                    new ClientConnection(fixture.clientListener, pair[0]);
+                            accepted.start();
+                            return accepted;
+                        });
+        while (fixture.onIoThread(connection::pendingWriteBytes)
+                < 2 * healthChecks * responseBytes) {
+            TimeUnit.MILLISECONDS.sleep(2);
+        }
+    }
 }
