Take the output of a client's connection into a class of its own

Change: ClientOutput queues responses, suspends reading and detects a client that reads nothing; no behaviour changes.

--- a/src/main/java/brooklock/platform/ClientConnection.java
+++ b/src/main/java/brooklock/platform/ClientConnection.java
@@ -35,35 +35,26 @@
     // Time within which the next bytes of a message, or the first byte on a new connection, must
     // arrive, ns.
     private static final long MESSAGE_PROGRESS_TIMEOUT_NS = 2_000_000_000L;
-    // Time within which a client must read at least one byte of the pending output, ns.
-    private static final long WRITE_STALL_TIMEOUT_NS = 5_000_000_000L;
     // Time for a client to close its side after output has been shut down, ns; enough for many
     // round trips.
     private static final long CLOSE_TIMEOUT_NS = 1_000_000_000L;
-    // Reading from a client is suspended while the output that waits to be written to it takes more
-    // memory than this.
-    private static final long MAX_PENDING_WRITE_BYTES = 512 * 1024;
-    // Memory of a queued buffer beyond the bytes that it holds: the unused rest of its capacity and
-    // two objects. A short response has a dozen bytes, so that counting them alone would count next
-    // to nothing.
-    private static final long BUFFER_OVERHEAD_BYTES = RpcEncoder.HEAD_CAPACITY_BYTES + 64;
 
     private final ClientListener listener;
     private final RawConnection transport;
+    private final ClientOutput output;
     private final RpcDecoder decoder = new RpcDecoder();
     private final Map<Long, PendingClientRequest> openRequests = new HashMap<>();
     private final Map<Long, RpcMessage.Call> unsubmittedCalls = new LinkedHashMap<>();
     private long idleSinceNs = System.nanoTime();
     private long messageStartedAtNs;
-    private long writtenBytesAtLastCheck;
     private int invalidCalls;
     private boolean hasSentMessage;
-    private boolean writePending;
     private boolean messageIncomplete;
 
     ClientConnection(ClientListener listener, RawConnection transport) {
         this.listener = listener;
         this.transport = transport;
+        output = new ClientOutput(transport);
     }
 
     /** Starts reading from the client. */
@@ -112,12 +103,9 @@
         return hasSentMessage;
     }
 
-    /**
-     * Returns the memory of the output that waits to be written, bytes. A connection that closes
-     * gracefully keeps its output until it has been written.
-     */
+    /** Returns the memory of the output that waits to be written, bytes. */
     long pendingWriteBytes() {
-        return transport.pendingBytes() + transport.pendingBuffers() * BUFFER_OVERHEAD_BYTES;
+        return output.pendingBytes();
     }
 
     /**
@@ -183,7 +171,7 @@
     }
 
     private void updateTimeout() {
-        if (writePending) {
+        if (output.isPending()) {
             return;
         }
         if (messageIncomplete) {
@@ -323,33 +311,21 @@
 
     private void write(ByteBuffer... buffers) {
         idleSinceNs = System.nanoTime();
-        transport.write(buffers);
-        if (transport.pendingBytes() > 0 && !writePending) {
-            writePending = true;
-            writtenBytesAtLastCheck = transport.writtenBytes();
-            transport.setTimeout(WRITE_STALL_TIMEOUT_NS);
-        }
-        if (pendingWriteBytes() > MAX_PENDING_WRITE_BYTES) {
-            transport.setReading(false);
-        }
-        if (transport.pendingBytes() > 0) {
+        output.write(buffers);
+        if (output.pendingBytes() > 0) {
             listener.onWriteBacklog();
         }
     }
 
     @Override
     public void onAllWritten() {
-        writePending = false;
-        transport.setReading(true);
+        output.onAllWritten();
         updateTimeout();
     }
 
     @Override
     public void onTimeout() {
-        if (writePending && transport.writtenBytes() > writtenBytesAtLastCheck) {
-            writtenBytesAtLastCheck = transport.writtenBytes();
-            transport.setTimeout(WRITE_STALL_TIMEOUT_NS);
-        } else {
+        if (!output.continueAfterTimeout()) {
             listener.logClientFault(
                     "a client that neither sends nor reads; its connection is closed");
             close();
--- /dev/null
+++ b/src/main/java/brooklock/platform/ClientOutput.java
@@ -0,0 +1,79 @@
+package brooklock.platform;
+
+import brooklock.net.RawConnection;
+import java.nio.ByteBuffer;
+
+/**
+ * The output of a client's connection. While too much of it waits to be written, no input is read
+ * from the client. While any of it waits, the timeout of the connection is that of the output. Not
+ * thread-safe; owned by the I/O thread.
+ */
+final class ClientOutput {
+    // Time within which a client must read at least one byte of the pending output, ns.
+    private static final long STALL_TIMEOUT_NS = 5_000_000_000L;
+    // Reading from a client is suspended while the output that waits to be written to it takes more
+    // memory than this.
+    private static final long MAX_PENDING_BYTES = 512 * 1024;
+    // Memory of a queued buffer beyond the bytes that it holds: the unused rest of its capacity and
+    // two objects. A short response has a dozen bytes, so that counting them alone would count next
+    // to nothing.
+    private static final long BUFFER_OVERHEAD_BYTES = RpcEncoder.HEAD_CAPACITY_BYTES + 64;
+
+    private final RawConnection transport;
+    private boolean pending;
+    private long writtenBytesAtLastCheck;
+
+    ClientOutput(RawConnection transport) {
+        this.transport = transport;
+    }
+
+    /** Writes a response, or queues what the socket does not accept at once. */
+    void write(ByteBuffer... buffers) {
+        transport.write(buffers);
+        if (transport.pendingBytes() > 0 && !pending) {
+            pending = true;
+            startTimeout();
+        }
+        if (pendingBytes() > MAX_PENDING_BYTES) {
+            transport.setReading(false);
+        }
+    }
+
+    private void startTimeout() {
+        writtenBytesAtLastCheck = transport.writtenBytes();
+        transport.setTimeout(STALL_TIMEOUT_NS);
+    }
+
+    /** Returns whether output waits to be written and the timeout is that of the output. */
+    boolean isPending() {
+        return pending;
+    }
+
+    /**
+     * Returns the memory of the output that waits to be written, bytes. A connection that closes
+     * gracefully keeps its output until it has been written.
+     */
+    long pendingBytes() {
+        return transport.pendingBytes() + transport.pendingBuffers() * BUFFER_OVERHEAD_BYTES;
+    }
+
+    /** Called when all output has been written; resumes reading. */
+    void onAllWritten() {
+        pending = false;
+        transport.setReading(true);
+    }
+
+    /**
+     * Called when the timeout of the connection has passed. If output is pending and the client has
+     * read some of it, starts the timeout anew.
+     *
+     * @return whether the timeout was started anew
+     */
+    boolean continueAfterTimeout() {
+        boolean progressed = pending && transport.writtenBytes() > writtenBytesAtLastCheck;
+        if (progressed) {
+            startTimeout();
+        }
+        return progressed;
+    }
+}
