--- a/src/main/java/brooklock/routing/PendingRequest.java
+++ b/src/main/java/brooklock/routing/PendingRequest.java
@@ -119,7 +119,7 @@
      */
     double confirmedWorkNs(AttemptCompleted completed, double meanNs) {
         return event.sizeKb() > 0
-                ? Math.min(workNs, Math.max(completed.durationNs(), meanNs))
+                ? Math.min(workNs, Math.max((double) completed.durationNs(), meanNs))
                 : workNs;
     }
 
--- a/src/test/java/brooklock/platform/ClientLimitTest.java
+++ b/src/test/java/brooklock/platform/ClientLimitTest.java
@@ -165,7 +165,7 @@
                             return accepted;
                         });
         while (fixture.onIoThread(connection::pendingWriteBytes)
-                < 2 * healthChecks * responseBytes) {
+                < 2L * healthChecks * responseBytes) {
             TimeUnit.MILLISECONDS.sleep(2);
         }
     }
