Do not take short deadlines of clients for overload of a warming cache

Callers would see: a cache that stays at a small share after its start while such clients ask it; not seen, read in the code. Cause: WarmingCoordinator counted every time-out as a failure of the cache, whatever time the attempt had. Change: a time-out counts only if the attempt lasted longer than the latency objective (AttemptObservation.isEndpointFailure).

--- a/src/main/java/brooklock/proxy/AttemptObservation.java
+++ b/src/main/java/brooklock/proxy/AttemptObservation.java
@@ -1,5 +1,6 @@
 package brooklock.proxy;
 
+import brooklock.routing.CacheStatus;
 import brooklock.routing.RouterEvent.AttemptCompleted;
 import brooklock.warming.CacheWarming.PeerResult;
 import brooklock.warming.LoadReport;
@@ -27,4 +28,18 @@
         Optional<LoadReport> endpointLoad,
         long peerId,
         Optional<PeerResult> peerResult,
-        Optional<LoadReport> peerLoad) {}
+        Optional<LoadReport> peerLoad) {
+    /**
+     * Returns whether the endpoint itself failed, as opposed to its fill source or the client. An
+     * attempt that timed out before the latency objective is no failure: it had too little time,
+     * for example because the client had shortened the deadline.
+     */
+    boolean isEndpointFailure() {
+        return switch (event.outcome()) {
+            case OVERLOADED, ERROR -> event.cacheStatus() == CacheStatus.NONE;
+            case CONNECT_FAILED, RESET -> true;
+            case TIMEOUT -> missedLatencyObjective;
+            default -> false;
+        };
+    }
+}
--- a/src/main/java/brooklock/proxy/WarmingCoordinator.java
+++ b/src/main/java/brooklock/proxy/WarmingCoordinator.java
@@ -188,7 +188,7 @@
                 RouteTable.Match match = observation.match();
                 warming.onPartCached(event.endpoint(), match.object(), match.part());
             }
-        } else if (isEndpointFailure(event)) {
+        } else if (observation.isEndpointFailure()) {
             warming.onFailure(event.endpoint(), isConnectionFailure(event.outcome()), nowNs);
         }
         if (observation.peerId() != UpstreamAttempt.NO_PEER) {
@@ -196,15 +196,6 @@
         }
     }
 
-    // Returns whether the endpoint itself failed, as opposed to its fill source.
-    private static boolean isEndpointFailure(AttemptCompleted event) {
-        return switch (event.outcome()) {
-            case OVERLOADED, ERROR -> event.cacheStatus() == CacheStatus.NONE;
-            case TIMEOUT, CONNECT_FAILED, RESET -> true;
-            default -> false;
-        };
-    }
-
     private static boolean isConnectionFailure(AttemptOutcome outcome) {
         return outcome == AttemptOutcome.CONNECT_FAILED || outcome == AttemptOutcome.RESET;
     }
