Review case 7: the repeat of a client's retry runs a keyed request twice

Change: case 7, with the settings of deploy/sites/clinic-notes.toml. The window of a key is counted from the first attempt of each try, so a dispatcher that has sent a key before repeats it after the origin has forgotten it.

--- a/review/standin-2/Run.java
+++ b/review/standin-2/Run.java
@@ -178,12 +178,44 @@
                     + "'report':{'fields':[],'source':'off'},'tenants':[],'tickNs':2000000,'tier':0,"
                     + "'tiers':['cache-fleet'],'weights':'nominal','worthBy':'request','zone':0}";
 
+    /** The settings of clinic-notes in the form of the configuration. */
+    static final String CLINIC_SETTINGS =
+            "{'balancers':3,'clients':{'marksRetry':true},'dcs':['main'],'discovery':'push',"
+                    + "'extra':{'byteFee':0.03,'goesThrough':[false,false,true],'goneEverywhereNs':6000000000,"
+                    + "'goodForNs':[0,0,0],'graceForNs':[0,0,0],'hubByZone':[0],'inletKbPerS':[0.0],'joins':false,"
+                    + "'multiPart':[false,false,false],'neighbours':'off','notesGiven':'all','oneFlowKbPerS':4000.0,"
+                    + "'originBearsNs':3000000000,'originLimitFactor':0.0,'parentLimitFactor':2.5,"
+                    + "'parentRampNs':20000000000,'parentStartsAt':0.07,'passThroughOk':true,"
+                    + "'purgeGraceNs':400000000,'seatsByZone':[3],'secondTierKind':1,'storeKind':2,"
+                    + "'worthWhenOld':[0.7,0.7,0.7]},"
+                    + "'family':'edge',"
+                    + "'goal':{'whole':0.6,'worstClass':0.2,'worstTenant':0.0,'worstWindow':0.2},"
+                    + "'invariants':{'coldFrom':0.2,'coldNs':15000000000,'fallMultiple':3.0,"
+                    + "'graceToAnswerNs':50000000,'mustAskInNs':10000000000,'overloadForNs':2500000000,"
+                    + "'stopSendingWithinNs':1500000000},"
+                    + "'lanes':[{'aimStretch':2.0,'effect':'read_like','giveUpNs':4500000000,'keyScope':'all',"
+                    + "'lateWorth':0.2,'name':'ward-list','onTimeNs':450000000,'streamed':false,"
+                    + "'windowNs':4500000000,'worth':2.0},"
+                    + "{'aimStretch':2.0,'effect':'read_like','giveUpNs':4500000000,'keyScope':'all',"
+                    + "'lateWorth':0.2,'name':'ward-page','onTimeNs':450000000,'streamed':false,"
+                    + "'windowNs':4500000000,'worth':2.0},"
+                    + "{'aimStretch':2.0,'effect':'idempotency_key','giveUpNs':4000000000,'keyScope':'all',"
+                    + "'lateWorth':0.1,'name':'note-append','onTimeNs':800000000,'streamed':false,"
+                    + "'windowNs':1600000000,'worth':4.0}],"
+                    + "'limits':{'cancel':false,'connIdleNs':20000000000,'connectTimeoutNs':500000000,"
+                    + "'cpuUsPerRequest':0.0,'cpuUsPerS':500000,'maxOpen':23210,'maxRetryAfterNs':1500000000,"
+                    + "'mayDuplicate':true,'peers':false,'probing':false,'retryAfter':false,'streamsPerConn':100,"
+                    + "'tryLimit':3},"
+                    + "'machineTypes':['std','parent','origin'],'ordinal':0,'overShareWorth':0.1,"
+                    + "'report':{'fields':[],'source':'off'},'tenants':[],'tickNs':2000000,'tier':0,"
+                    + "'tiers':['ward-cache'],'weights':'off','worthBy':'request','zone':0}";
+
     static String config(Node node, Channel channel, int memoryMb, int sockets, String settings) {
         return String.format(
-                        "{'name':'%s','listen':'%s','seed':'8c1f30d27a5be964','limits':{'cores':1.0,"
+                        "{'name':'%s','listen':'%s','seed':'%016x','limits':{'cores':1.0,"
                                 + "'memory_mb':%d,'sockets':%d},'channel':'%s','flow_bytes_per_s':310000,"
                                 + "'link_bytes_per_s':1240000,",
-                        node.name, node.listen(), memoryMb, sockets, channel.address())
+                        node.name, node.listen(), node.name.hashCode() * 0x9e3779b97f4a7c15L, memoryMb, sockets, channel.address())
                 .replace('\'', '"')
                 + "\"known\":" + channel.known() + ",\"settings\":" + settings.replace('\'', '"') + "}";
     }
