End a shutdown although a client floods it with calls that it cancels

Cause: ClientConnection.closeIfIdle read until no input was left. What is cancelled or answered within the same read leaves the connection idle, so the loop on the only I/O thread lasted for as long as the client sent. It works because each turn of a connection has an end that the peer can't move, and so has the number of messages in a shutdown.

--- a/src/main/java/brooklock/platform/ClientConnection.java
+++ b/src/main/java/brooklock/platform/ClientConnection.java
@@ -17,7 +17,7 @@
  * <p>A connection is closed immediately when the client has closed it, stops sending in the middle
  * of a message, or does not read its responses. It is closed gracefully when it has been idle for
  * too long, when it is evicted in favour of a new connection, when the dispatcher shuts down, and
- * when its input is malformed. A graceful close writes the pending responses, shuts down output,
+ * when its input is malformed. During a shutdown only a bounded number of messages is processed. A graceful close writes the pending responses, shuts down output,
  * and then reads and drops input until the client closes its side: closing a socket with unread
  * input would reset the connection, and responses already written would be lost. Open requests are
  * cancelled when their connection closes.
@@ -32,6 +32,10 @@
     // closes the connection; otherwise a client that sends only invalid calls could keep the
     // dispatcher busy.
     private static final int MAX_INVALID_CALLS = 4;
+    // Maximum number of messages per connection that are processed after the shutdown has begun:
+    // several times the open calls of a client that cancels or repeats each of them. Further input
+    // is discarded; otherwise a client that never stops sending could prevent the shutdown.
+    private static final int MAX_MESSAGES_DURING_SHUTDOWN = 8 * MAX_OPEN_CALLS;
     // Time within which the next bytes of a message, or the first byte on a new connection, must
     // arrive, ns.
     private static final long MESSAGE_PROGRESS_TIMEOUT_NS = 2_000_000_000L;
@@ -48,6 +52,8 @@
     private long idleSinceNs = System.nanoTime();
     private long messageStartedAtNs;
     private int invalidCalls;
+    private int messagesDuringShutdown;
+    private boolean discardsInput;
     private boolean hasSentMessage;
     private boolean messageIncomplete;
 
@@ -75,21 +81,21 @@
     }
 
     /**
-     * Closes the connection gracefully if it is still idle after all input that the operating
-     * system has received has been read. Otherwise a call that has arrived but has not been read
-     * would be lost.
+     * Closes the connection gracefully if it is idle and the operating system holds no input of it.
+     * Input that is available is read instead, at most one buffer, and the connection stays open:
+     * otherwise a call that has arrived but has not been read would be lost. The caller tries again
+     * later; reading on until no input is left would let a client that sends at full speed hold the
+     * I/O thread for as long as it sends.
      *
      * @return whether the connection is now closing
      */
     boolean closeIfIdle() {
-        while (isIdle() && transport.readNow()) {
-            // A call in the received input makes the connection busy and ends the loop.
-        }
-        boolean idle = isIdle();
-        if (idle) {
+        boolean inputRead = isIdle() && transport.readNow();
+        boolean closable = isIdle() && (!inputRead || discardsInput);
+        if (closable) {
             closeGracefully();
         }
-        return idle;
+        return closable;
     }
 
     private void closeGracefully() {
@@ -120,26 +126,42 @@
     public void onBytes(ByteBuffer input) {
         try {
             boolean messageStarted = !messageIncomplete;
-            for (RpcMessage message = decoder.next(input);
+            for (RpcMessage message = nextMessage(input);
                     message != null && !transport.isClosed();
-                    message = decoder.next(input)) {
+                    message = nextMessage(input)) {
                 hasSentMessage = true;
                 messageStarted = true;
                 idleSinceNs = System.nanoTime();
                 onMessage(message);
             }
-            messageIncomplete = decoder.hasPartialMessage() || input.hasRemaining();
+            messageIncomplete =
+                    !discardsInput && (decoder.hasPartialMessage() || input.hasRemaining());
             checkMessageDuration(messageStarted);
             submitReceivedCalls();
             if (!transport.isClosed()) {
                 updateTimeout();
-                listener.partialCalls().update(this, decoder.partialBytes());
+                listener.partialCalls().update(this, discardsInput ? 0 : decoder.partialBytes());
             }
         } catch (MalformedMessageException e) {
             closeForFault(e.getMessage());
         }
     }
 
+    // Returns the next message, or null if more input is needed or input is discarded.
+    private RpcMessage nextMessage(ByteBuffer input) throws MalformedMessageException {
+        if (listener.isRejectingRequests()
+                && messagesDuringShutdown == MAX_MESSAGES_DURING_SHUTDOWN) {
+            discardsInput = true;
+            input.position(input.limit());
+            return null;
+        }
+        RpcMessage message = decoder.next(input);
+        if (message != null && listener.isRejectingRequests()) {
+            messagesDuringShutdown++;
+        }
+        return message;
+    }
+
     private void closeForFault(String reason) {
         listener.logClientFault(reason);
         cancelOpenRequests();
--- a/src/test/java/brooklock/platform/ConnectionCloseTest.java
+++ b/src/test/java/brooklock/platform/ConnectionCloseTest.java
@@ -224,4 +224,53 @@
         // A reset would cause an exception or a truncated response here.
         assertRejected(client);
     }
+
+    /**
+     * Guards against a shutdown that stands still: a client cancels calls at full speed, so that
+     * each read ends at the end of a message and leaves its connection idle. Other clients must get
+     * their responses, and the shutdown must end although the client never stops.
+     */
+    @Test
+    void aFloodOfCancellationsDoesNotHoldUpTheShutdown() throws Exception {
+        client.getOutputStream().write(read(1, 0x28));
+        DispatcherFixture.EndpointPeer endpoint = fixture.connect(fixture.nextConnectRequest());
+        assertEquals(0x28, endpoint.nextFrame().id());
+        try (Socket flooding =
+                new Socket(fixture.address.getAddress(), fixture.address.getPort())) {
+            Thread flood = new Thread(() -> sendCancellations(flooding));
+            flood.start();
+            fixture.onIoThread(() -> null);
+            shutDownOnIoThread();
+            while (isListening()) {
+                Thread.onSpinWait();
+            }
+            endpoint.respond(Frame.OK, 0x28, "rev=1");
+            byte[] response = client.getInputStream().readAllBytes();
+            assertArrayEquals(
+                    new byte[] {(byte) 0x94, 1, 1, (byte) 0xc0}, Arrays.copyOf(response, 4));
+            client.close();
+            assertTrue(shutDown.await(20, TimeUnit.SECONDS));
+            flood.join();
+        }
+    }
+
+    // Sends cancellations of 16 bytes each, which fill the dispatcher's buffer evenly, until the
+    // dispatcher closes the connection.
+    private static void sendCancellations(Socket socket) {
+        byte[] cancellation = {
+            (byte) 0x93, 2, (byte) 0xd9, 6, 'f', 'o', 'r', 'g', 'e', 't', (byte) 0x91, (byte) 0xce, 0,
+            1, 0, 0
+        };
+        byte[] block = RpcTestClient.concat(cancellation);
+        while (block.length < 65_536) {
+            block = RpcTestClient.concat(block, block);
+        }
+        try {
+            while (true) {
+                socket.getOutputStream().write(block);
+            }
+        } catch (IOException closedByDispatcher) {
+            // The dispatcher has closed the connection.
+        }
+    }
 }
