--- a/src/main/java/brooklock/platform/ClientConnection.java
+++ b/src/main/java/brooklock/platform/ClientConnection.java
@@ -17,10 +17,11 @@
  * <p>A connection is closed immediately when the client has closed it, stops sending in the middle
  * of a message, or does not read its responses. It is closed gracefully when it has been idle for
  * too long, when it is evicted in favour of a new connection, when the dispatcher shuts down, and
- * when its input is malformed. During a shutdown only a bounded number of messages is processed. A graceful close writes the pending responses, shuts down output,
- * and then reads and drops input until the client closes its side: closing a socket with unread
- * input would reset the connection, and responses already written would be lost. Open requests are
- * cancelled when their connection closes.
+ * when its input is malformed. During a shutdown only a bounded number of messages is processed. A
+ * graceful close writes the pending responses, shuts down output, and then reads and drops input
+ * until the client closes its side: closing a socket with unread input would reset the connection,
+ * and responses already written would be lost. Open requests are cancelled when their connection
+ * closes.
  */
 final class ClientConnection implements RawConnection.EventListener, PartialMessageMemory.Holder {
     /**
--- a/src/test/java/brooklock/platform/ConnectionCloseTest.java
+++ b/src/test/java/brooklock/platform/ConnectionCloseTest.java
@@ -258,8 +258,22 @@
     // dispatcher closes the connection.
     private static void sendCancellations(Socket socket) {
         byte[] cancellation = {
-            (byte) 0x93, 2, (byte) 0xd9, 6, 'f', 'o', 'r', 'g', 'e', 't', (byte) 0x91, (byte) 0xce, 0,
-            1, 0, 0
+            (byte) 0x93,
+            2,
+            (byte) 0xd9,
+            6,
+            'f',
+            'o',
+            'r',
+            'g',
+            'e',
+            't',
+            (byte) 0x91,
+            (byte) 0xce,
+            0,
+            1,
+            0,
+            0
         };
         byte[] block = RpcTestClient.concat(cancellation);
         while (block.length < 65_536) {
