Hold unconsumed input in memory of its size instead of a direct buffer each

Cause: a connection kept a direct buffer of 16 KB as long as it held one unconsumed byte; deploy/node allows 16 MB of direct memory. ConnectionResourceTest.unconsumedInputTakesNoDirectMemory failed before: 200 connections with a byte each held 3,276,800 bytes. Change: Connection returns the direct buffer after each read and keeps what is left in a heap buffer of its size. It works because the number of direct buffers no longer depends on the number of connections.

--- a/src/main/java/brooklock/net/BufferPool.java
+++ b/src/main/java/brooklock/net/BufferPool.java
@@ -5,7 +5,8 @@
 
 /**
  * Pools the direct buffers of one I/O thread; used on that thread only. A connection holds a buffer
- * only while it has unconsumed input, so that an idle connection holds none.
+ * only while it reads or while its handler uses the input, so that the number of buffers does not
+ * grow with the number of connections.
  */
 final class BufferPool {
     /**
--- a/src/main/java/brooklock/net/Connection.java
+++ b/src/main/java/brooklock/net/Connection.java
@@ -30,8 +30,10 @@
     final boolean tls;
 
     /**
-     * The unconsumed input, in a buffer in write mode; null while there is none, so that an idle
-     * connection holds no buffer.
+     * The unconsumed input, in write mode; null while there is none. During a read and while the
+     * subclass uses it, it is a direct buffer of the pool. Between reads it is a heap buffer of
+     * just the size of the unconsumed bytes: direct memory is scarce, and many peers that each stop
+     * in the middle of a message head must not exhaust it.
      */
     ByteBuffer input;
 
@@ -62,7 +64,7 @@
     abstract void onWritable();
 
     /**
-     * Reads into the input buffer, which is acquired from the pool if there is none.
+     * Reads into a buffer of the pool, behind the unconsumed input.
      *
      * @return the number of bytes read, or -1 at the end of input
      * @throws IOException if the connection is lost
@@ -70,10 +72,18 @@
     final int readInput() throws IOException {
         if (input == null) {
             input = loop.buffers.acquire();
+        } else if (!input.isDirect()) {
+            ByteBuffer unconsumed = input.flip();
+            input = loop.buffers.acquire().put(unconsumed);
         }
         return source.read(input);
     }
 
+    /** Returns whether the unconsumed input leaves no room for a read. */
+    final boolean isInputFull() {
+        return input != null && input.position() == BufferPool.BUFFER_BYTES;
+    }
+
     /**
      * Writes the queued output. If the socket does not accept all of it, {@link #onWritable} is
      * called when it accepts more.
@@ -106,23 +116,24 @@
     }
 
     /**
-     * Switches the input buffer back to write mode and keeps its unconsumed bytes; releases the
-     * buffer if there are none.
+     * Copies the unconsumed bytes of the input, which is in read mode, to a heap buffer of their
+     * size, and returns the direct buffer to the pool.
      */
     final void keepUnconsumed() {
-        if (input != null) {
-            input.compact();
-            if (input.position() == 0) {
-                releaseInput();
-            }
+        if (input == null) {
+            return;
         }
+        ByteBuffer unconsumed =
+                input.hasRemaining() ? ByteBuffer.allocate(input.remaining()).put(input) : null;
+        releaseInput();
+        input = unconsumed;
     }
 
     final void releaseInput() {
-        if (input != null) {
+        if (input != null && input.isDirect()) {
             loop.buffers.release(input);
-            input = null;
         }
+        input = null;
     }
 
     /**
--- a/src/main/java/brooklock/net/HttpServerConnection.java
+++ b/src/main/java/brooklock/net/HttpServerConnection.java
@@ -100,7 +100,7 @@
                 return;
             }
             keepUnconsumed();
-            if (input != null && !input.hasRemaining()) {
+            if (isInputFull()) {
                 // A pipelined request has filled the buffer while another one is being processed.
                 source.suspendReads();
                 return;
@@ -114,7 +114,7 @@
     }
 
     private void discard(int bytesRead) {
-        input.clear();
+        releaseInput();
         if (bytesRead < 0) {
             closeNow();
         }
--- a/src/main/java/brooklock/net/RawConnection.java
+++ b/src/main/java/brooklock/net/RawConnection.java
@@ -263,7 +263,7 @@
         }
         if (!isClosed()) {
             keepUnconsumed();
-            if (input != null && !input.hasRemaining()) {
+            if (isInputFull()) {
                 onConnectionLost(
                         "the listener left a full input buffer of "
                                 + BufferPool.BUFFER_BYTES
