Give a socket at most 64 KB in one write, so that slow readers cost little

Callers saw: with 330 clients that read slowly, 2 of 464 usual requests answered 574 and 594 ms after their deadline (a run of my own against the started process, 192 MB, 1,024 descriptors). Cause: a gathering write of up to 64 heap buffers; the virtual machine copies them all to direct memory for each write, up to 7.7 MB for the few KB that the socket accepts. Evidence: ConnectionResourceTest.outputForASlowReaderTakesLittleDirectMemory failed before: 7,680,000 bytes for one write. Change: WriteQueue passes at most 64 KB to one write. It works because the cost of a write no longer depends on what waits.

--- a/src/main/java/brooklock/net/WriteQueue.java
+++ b/src/main/java/brooklock/net/WriteQueue.java
@@ -18,6 +18,14 @@
     /** Maximum number of buffers in one gathering write; the system accepts at most 1,024. */
     private static final int MAX_BUFFERS_PER_WRITE = 64;
 
+    /**
+     * Maximum number of bytes in one write. The virtual machine first copies heap buffers to direct
+     * memory, all of them, although the socket may accept only a few bytes: without this bound a
+     * peer that reads slowly would cost a copy of its whole queue for each small part that it
+     * reads, and direct memory of that size.
+     */
+    static final int MAX_BYTES_PER_WRITE = 64 * 1024;
+
     private final ConduitStreamSinkChannel sink;
     private ByteBuffer[] buffers = new ByteBuffer[INITIAL_CAPACITY];
     private int head;
@@ -50,11 +58,7 @@
      */
     boolean flush() throws IOException {
         while (head < tail) {
-            long count =
-                    tail - head == 1
-                            ? sink.write(buffers[head])
-                            : sink.write(
-                                    buffers, head, Math.min(MAX_BUFFERS_PER_WRITE, tail - head));
+            long count = writeOnce();
             writtenBytes += Math.max(0, count);
             while (head < tail && !buffers[head].hasRemaining()) {
                 buffers[head++] = null;
@@ -68,6 +72,25 @@
         return sink.flush();
     }
 
+    private long writeOnce() throws IOException {
+        int count = 0;
+        long byteCount = 0;
+        while (head + count < tail
+                && count < MAX_BUFFERS_PER_WRITE
+                && byteCount < MAX_BYTES_PER_WRITE) {
+            byteCount += buffers[head + count].remaining();
+            count++;
+        }
+        ByteBuffer last = buffers[head + count - 1];
+        int limit = last.limit();
+        last.limit(limit - (int) Math.max(0, byteCount - MAX_BYTES_PER_WRITE));
+        try {
+            return count == 1 ? sink.write(last) : sink.write(buffers, head, count);
+        } finally {
+            last.limit(limit);
+        }
+    }
+
     boolean isEmpty() {
         return head == tail;
     }
--- a/src/test/java/brooklock/net/ConnectionResourceTest.java
+++ b/src/test/java/brooklock/net/ConnectionResourceTest.java
@@ -103,4 +103,39 @@
                 growth <= CONNECTIONS * BufferPool.BUFFER_BYTES / 10,
                 "direct memory grew by " + growth + " bytes");
     }
+
+    /**
+     * Guards against a copy of the whole queue of output to direct memory for each write: peers
+     * that read slowly made responses to others late.
+     */
+    @Test
+    void outputForASlowReaderTakesLittleDirectMemory() throws Exception {
+        InetSocketAddress address =
+                listen(
+                        new RawConnection.EventListener() {
+                            @Override
+                            public void onBytes(ByteBuffer input) {}
+
+                            @Override
+                            public void onClose(String reason) {}
+                        });
+        connect(address);
+        RawConnection connection = accepted.poll(20, TimeUnit.SECONDS);
+        ByteBuffer[] responses = new ByteBuffer[RESPONSES];
+        for (int i = 0; i < RESPONSES; i++) {
+            responses[i] = ByteBuffer.allocate(RESPONSE_BYTES);
+        }
+        long bytesBefore = directBytes();
+        CountDownLatch written = new CountDownLatch(1);
+        loop.execute(
+                () -> {
+                    connection.write(responses);
+                    written.countDown();
+                });
+        assertTrue(written.await(20, TimeUnit.SECONDS));
+        long growth = directBytes() - bytesBefore;
+        assertTrue(
+                growth <= 2 * WriteQueue.MAX_BYTES_PER_WRITE,
+                "direct memory grew by " + growth + " bytes");
+    }
 }
