Bound the turn of an HTTP connection as that of a platform connection

HttpServerConnection reads on while a read fills its buffer, while it discards input, and on TLS while any input is left; HttpClientConnection does on TLS. Change: at most four reads a turn; with TLS the read listener is then woken up, since a record may have been read from the socket already. Two tests against a listener without TLS, a flood after an invalid request and one of requests that are answered at once, passed without the change, so none is added. The loops have an end of their own now. The tests of net and proxy pass.

--- a/src/main/java/brooklock/net/Connection.java
+++ b/src/main/java/brooklock/net/Connection.java
@@ -29,6 +29,12 @@
      */
     final boolean tls;
 
+    /**
+     * Maximum number of buffers that a connection reads before the other connections of the thread
+     * have their turn.
+     */
+    static final int MAX_READS_PER_TURN = 4;
+
     /**
      * The unconsumed input, in write mode; null while there is none. During a read and while the
      * subclass uses it, it is a direct buffer of the pool. Between reads it is a heap buffer of
@@ -84,6 +90,18 @@
         return input != null && input.position() == BufferPool.BUFFER_BYTES;
     }
 
+    /**
+     * Ends the turn of this connection although input may be left. The read listener is called
+     * again once the other connections of the thread have had their turn.
+     */
+    final void continueReadingInNextTurn() {
+        // The socket stays ready while it has input, but not for a TLS record that was read from it
+        // without having been decrypted.
+        if (tls) {
+            source.wakeupReads();
+        }
+    }
+
     /**
      * Writes the queued output. If the socket does not accept all of it, {@link #onWritable} is
      * called when it accepts more.
--- a/src/main/java/brooklock/net/HttpClientConnection.java
+++ b/src/main/java/brooklock/net/HttpClientConnection.java
@@ -116,7 +116,11 @@
             // has input. With TLS a record may have been read from the socket but not decrypted,
             // and the socket does not become ready for it again.
             boolean inputArrived = readOnce();
-            while (inputArrived && tls && !closed && !paused) {
+            for (int reads = 1; inputArrived && tls && !closed && !paused; reads++) {
+                if (reads == MAX_READS_PER_TURN) {
+                    continueReadingInNextTurn();
+                    return;
+                }
                 inputArrived = readOnce();
             }
         } catch (HttpProtocolException e) {
--- a/src/main/java/brooklock/net/HttpServerConnection.java
+++ b/src/main/java/brooklock/net/HttpServerConnection.java
@@ -76,7 +76,11 @@
     }
 
     private void readAvailable() throws IOException, HttpProtocolException {
-        while (!closed) {
+        for (int reads = 0; !closed; reads++) {
+            if (reads == MAX_READS_PER_TURN) {
+                continueReadingInNextTurn();
+                return;
+            }
             int bytesRead = readInput();
             if (closed) {
                 // A read that reaches the end of input may close the connection.
