Bound the memory of requests and connections by one sum; give calls up alone

Cause: incomplete calls had a bound of their own, an eighth of the heap, while most of it was free; at the bound the connection of the quietest call was closed, with all of its open requests. Evidence: PartialMessageMemoryTest.theCallThatStoppedFirstIsRejectedWhenMemoryRunsOut fails with the connection closed instead: no response to the open request. Change: MemoryBudget bounds the sum of incomplete calls, pending requests, incomplete responses and output, with a guaranteed part for each. A call that is given up is read to its end without being kept and is rejected. It works because one sum leaves each kind room and giving a call up touches that call alone. Tests: theClientThatStoppedFirstIsDisconnectedWhenMemoryRunsOut asked for the close, which is the fault; its successor asks for the memory at once, for a rejection, and for the responses of all other requests. Bounds set by tests are set on the accounts.

--- a/src/main/java/brooklock/platform/ByteAccumulator.java
+++ b/src/main/java/brooklock/platform/ByteAccumulator.java
@@ -12,9 +12,12 @@
     // Holds most texts without growing; the largest body needs a few doublings.
     private static final int INITIAL_CAPACITY_BYTES = 4096;
 
+    private static final byte[] NO_BYTES = {};
+
     private final int expectedLength;
     private byte[] bytes;
     private int receivedCount;
+    private boolean discarding;
 
     /**
      * Creates an empty accumulator.
@@ -26,6 +29,12 @@
         bytes = new byte[Math.min(length, INITIAL_CAPACITY_BYTES)];
     }
 
+    /** Drops the bytes received so far and those that are still to come. */
+    void discard() {
+        discarding = true;
+        bytes = NO_BYTES;
+    }
+
     /**
      * Appends bytes from a buffer until the announced length is reached or the buffer is empty.
      *
@@ -33,6 +42,16 @@
      */
     boolean append(ByteBuffer input) {
         int count = Math.min(expectedLength - receivedCount, input.remaining());
+        if (discarding) {
+            input.position(input.position() + count);
+        } else {
+            copy(input, count);
+        }
+        receivedCount += count;
+        return receivedCount == expectedLength;
+    }
+
+    private void copy(ByteBuffer input, int count) {
         if (receivedCount + count > bytes.length) {
             bytes =
                     Arrays.copyOf(
@@ -42,8 +61,6 @@
                                     Math.max(receivedCount + count, 2 * bytes.length)));
         }
         input.get(bytes, receivedCount, count);
-        receivedCount += count;
-        return receivedCount == expectedLength;
     }
 
     /** Returns the memory that the accumulator occupies, bytes. */
@@ -52,8 +69,8 @@
     }
 
     /**
-     * Returns the accumulated bytes without copying them. The result is valid only after {@link
-     * #append} has returned true.
+     * Returns the accumulated bytes without copying them; none if they were discarded. The result
+     * is valid only after {@link #append} has returned true.
      */
     byte[] bytes() {
         return bytes;
--- a/src/main/java/brooklock/platform/ClientConnection.java
+++ b/src/main/java/brooklock/platform/ClientConnection.java
@@ -54,6 +54,8 @@
     private long messageStartedAtNs;
     private int invalidCalls;
     private int messagesDuringShutdown;
+    private long reportedOutputBytes;
+    private boolean outputReleased;
     private boolean discardsInput;
     private boolean hasSentMessage;
     private boolean messageIncomplete;
@@ -102,7 +104,24 @@
     private void closeGracefully() {
         listener.partialCalls().update(this, 0);
         listener.onClosing();
-        transport.closeGracefully(CLOSE_TIMEOUT_NS, () -> listener.onClosed(this));
+        transport.closeGracefully(CLOSE_TIMEOUT_NS, this::onClosedGracefully);
+    }
+
+    private void onClosedGracefully() {
+        releaseOutputMemory();
+        listener.onClosed(this);
+    }
+
+    /** Records the memory of the output that waits to be written. */
+    void reportOutputMemory() {
+        long bytes = outputReleased ? 0 : pendingWriteBytes();
+        listener.outputMemory().add(bytes - reportedOutputBytes);
+        reportedOutputBytes = bytes;
+    }
+
+    private void releaseOutputMemory() {
+        outputReleased = true;
+        reportOutputMemory();
     }
 
     /** Returns whether the client has sent at least one complete message. */
@@ -174,9 +193,16 @@
         return transport.readNow();
     }
 
+    // The rest of the call is received and dropped, and the call is rejected. If the connection
+    // were
+    // closed instead, the client would also lose the responses to its open requests.
     @Override
-    public void closeForMemory() {
-        closeForFault("the partially received calls of all clients take too much memory");
+    public void giveUpPartialMessage() {
+        if (decoder.discardPartialCall()) {
+            listener.partialCalls().update(this, 0);
+        } else {
+            closeForFault("the partially received calls of all clients take too much memory");
+        }
     }
 
     // Bounds the duration of a whole message. The progress timeout alone is not enough: a client
@@ -214,7 +240,9 @@
             throw new MalformedMessageException(
                     "expected a message id that no open call uses but received " + messageId);
         }
-        if (message instanceof RpcMessage.HealthCheck) {
+        if (message instanceof RpcMessage.DiscardedCall) {
+            write(RpcEncoder.error(messageId, RpcError.REJECTED));
+        } else if (message instanceof RpcMessage.HealthCheck) {
             write(RpcEncoder.health(messageId, listener.isHealthy()));
         } else if (openRequests.size() + unsubmittedCalls.size() >= MAX_OPEN_CALLS) {
             respondClientFault(
@@ -335,14 +363,14 @@
     private void write(ByteBuffer... buffers) {
         idleSinceNs = System.nanoTime();
         output.write(buffers);
-        if (output.pendingBytes() > 0) {
-            listener.onWriteBacklog();
-        }
+        reportOutputMemory();
+        listener.onOutputQueued();
     }
 
     @Override
     public void onAllWritten() {
         output.onAllWritten();
+        reportOutputMemory();
         updateTimeout();
     }
 
@@ -363,6 +391,7 @@
     /** Closes the connection immediately and cancels its open requests. */
     void close() {
         transport.close();
+        releaseOutputMemory();
         listener.partialCalls().update(this, 0);
         listener.remove(this);
         cancelOpenRequests();
--- a/src/main/java/brooklock/platform/ClientListener.java
+++ b/src/main/java/brooklock/platform/ClientListener.java
@@ -32,14 +32,6 @@
     private static final long SWEEP_INTERVAL_NS = 500_000_000L;
     // Maximum duration of a whole message, ns; longer than every deadline.
     private static final long MESSAGE_TIMEOUT_NS = 6_000_000_000L;
-    // All responses that clients have not read yet may together occupy at most the heap size
-    // divided by this. If they occupy more, the connection with the most pending bytes is closed;
-    // otherwise the heap would fill up.
-    private static final int PENDING_WRITE_HEAP_DIVISOR = 4;
-    // The calls that all clients have sent in part may together occupy at most the heap size
-    // divided
-    // by this.
-    private static final int PARTIAL_CALL_HEAP_DIVISOR = 8;
 
     /** Interval at which a shutdown closes connections that have become idle, ns. */
     static final long SHUTDOWN_POLL_NS = 10_000_000L;
@@ -54,13 +46,11 @@
     private final Map<String, RequestClassRules> requestClasses;
     private final int maxConnections;
     private final RequestExecutor executor;
-    private final PartialMessageMemory partialCalls =
-            new PartialMessageMemory(Runtime.getRuntime().maxMemory() / PARTIAL_CALL_HEAP_DIVISOR);
+    private final PartialMessageMemory partialCalls;
+    private final MemoryBudget.Account outputMemory;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private RawListener listener;
     private long messageTimeoutNs = MESSAGE_TIMEOUT_NS;
-    private long maxPendingWriteBytes =
-            Runtime.getRuntime().maxMemory() / PENDING_WRITE_HEAP_DIVISOR;
     private int closingConnections;
     private boolean healthy = true;
     private boolean rejectingRequests;
@@ -73,12 +63,17 @@
      * @param maxConnections maximum number of open connections; when it is reached, a new
      *     connection replaces an idle connection, or is closed if no connection is idle
      * @param executor the executor of the requests
+     * @param memory bounds the memory of partially received calls and of pending output
      */
     ClientListener(
             IoLoop loop,
             Map<String, RequestClassRules> requestClasses,
             int maxConnections,
-            RequestExecutor executor) {
+            RequestExecutor executor,
+            MemoryBudget memory) {
+        partialCalls = new PartialMessageMemory(memory.partialCalls());
+        outputMemory = memory.clientOutput();
+        outputMemory.setReclaimer(this::reclaimOutputMemory);
         this.loop = loop;
         this.requestClasses = requestClasses;
         this.maxConnections = maxConnections;
@@ -166,30 +161,40 @@
         return executor;
     }
 
-    /**
-     * Called when a client has not read all of its output yet. Closes the connection whose pending
-     * output takes the most memory if that of all connections exceeds the bound.
-     */
-    void onWriteBacklog() {
-        long pendingBytes = 0;
-        long largestPendingBytes = 0;
+    /** Called when output has been written or queued for a client. */
+    void onOutputQueued() {
+        if (outputMemory.isExceeded()) {
+            reclaimOutputMemory();
+        }
+    }
+
+    // Closes the connection whose pending output takes the most memory until the account is not
+    // exceeded any more; otherwise clients that do not read their responses would fill the heap.
+    private void reclaimOutputMemory() {
+        connections.forEach(ClientConnection::reportOutputMemory);
+        ClientConnection largest = connectionWithMostOutput();
+        while (outputMemory.isExceeded() && largest != null) {
+            largest.close();
+            largest = connectionWithMostOutput();
+        }
+    }
+
+    // Returns null if no output is pending.
+    private ClientConnection connectionWithMostOutput() {
         ClientConnection largest = null;
+        long largestBytes = 0;
         for (ClientConnection connection : connections) {
-            long connectionPendingBytes = connection.pendingWriteBytes();
-            pendingBytes += connectionPendingBytes;
-            if (connectionPendingBytes > largestPendingBytes) {
-                largestPendingBytes = connectionPendingBytes;
+            if (connection.pendingWriteBytes() > largestBytes) {
+                largestBytes = connection.pendingWriteBytes();
                 largest = connection;
             }
         }
-        if (largest != null && pendingBytes > maxPendingWriteBytes) {
-            largest.close();
-        }
+        return largest;
     }
 
-    /** Sets the maximum number of bytes that may wait to be written to all clients. For tests. */
-    void setMaxPendingWriteBytes(long bytes) {
-        maxPendingWriteBytes = bytes;
+    /** Returns the account of the output that waits to be written to all clients. */
+    MemoryBudget.Account outputMemory() {
+        return outputMemory;
     }
 
     /** Returns the memory of the calls that all clients have sent in part. */
--- a/src/main/java/brooklock/platform/EndpointConnection.java
+++ b/src/main/java/brooklock/platform/EndpointConnection.java
@@ -141,7 +141,7 @@
     }
 
     @Override
-    public void closeForMemory() {
+    public void giveUpPartialMessage() {
         fail("the partially received responses of all endpoints take too much memory");
     }
 
--- a/src/main/java/brooklock/platform/EndpointConnectionPools.java
+++ b/src/main/java/brooklock/platform/EndpointConnectionPools.java
@@ -16,23 +16,20 @@
     // Bounds of an endpoint's share; they apply if the list has very few or very many endpoints.
     private static final int MAX_CONNECTIONS_PER_ENDPOINT = 48;
     private static final int MIN_CONNECTIONS_PER_ENDPOINT = 2;
-    // The partially received responses of all endpoints may occupy at most the heap size divided by
-    // this.
-    private static final int PARTIAL_RESPONSE_HEAP_DIVISOR = 4;
 
     private final ConnectionSettings settings;
     private final DiscoveredEndpointTable table;
     private final AttemptHandler attemptHandler;
-    private final PartialMessageMemory partialResponses =
-            new PartialMessageMemory(
-                    Runtime.getRuntime().maxMemory() / PARTIAL_RESPONSE_HEAP_DIVISOR);
+    private final PartialMessageMemory partialResponses;
     private final Map<Long, EndpointConnectionPool> poolsById = new HashMap<>();
 
     EndpointConnectionPools(
             ConnectionSettings settings,
             DiscoveredEndpointTable table,
+            MemoryBudget memory,
             AttemptHandler attemptHandler) {
         this.settings = settings;
+        partialResponses = new PartialMessageMemory(memory.partialResponses());
         this.table = table;
         this.attemptHandler = attemptHandler;
     }
@@ -59,11 +56,6 @@
         return poolsById.get(endpointId);
     }
 
-    /** Returns the memory of the partially received responses of all endpoints. */
-    PartialMessageMemory partialResponses() {
-        return partialResponses;
-    }
-
     /** Returns a copy of the list of all pools. */
     List<EndpointConnectionPool> all() {
         return List.copyOf(poolsById.values());
--- a/src/main/java/brooklock/platform/EndpointConnector.java
+++ b/src/main/java/brooklock/platform/EndpointConnector.java
@@ -30,11 +30,13 @@
      *
      * @param table the endpoint list
      * @param settings the settings of the connections to endpoints
+     * @param memory bounds the memory of partially received responses
      */
-    EndpointConnector(DiscoveredEndpointTable table, ConnectionSettings settings) {
+    EndpointConnector(
+            DiscoveredEndpointTable table, ConnectionSettings settings, MemoryBudget memory) {
         loop = settings.loop();
         this.table = table;
-        pools = new EndpointConnectionPools(settings, table, this);
+        pools = new EndpointConnectionPools(settings, table, memory, this);
     }
 
     /**
@@ -103,11 +105,6 @@
                 && attempt.matchesDecisionListings(endpoint.listing(), fillSource.listing());
     }
 
-    /** Returns the memory of the partially received responses of all endpoints. */
-    PartialMessageMemory partialResponses() {
-        return pools.partialResponses();
-    }
-
     /** Closes idle connections immediately and busy connections as they become idle. */
     void close() {
         closed = true;
--- a/src/main/java/brooklock/platform/MessagePackReader.java
+++ b/src/main/java/brooklock/platform/MessagePackReader.java
@@ -67,6 +67,7 @@
 
     private final int maxPayloadBytes;
     private ByteAccumulator payload;
+    private boolean discardsPayloads;
     private boolean payloadIsText;
     private TokenType tokenType;
     private long value;
@@ -197,6 +198,20 @@
         }
         payloadIsText = isText;
         payload = new ByteAccumulator((int) length);
+        if (discardsPayloads) {
+            payload.discard();
+        }
+    }
+
+    /**
+     * Determines whether texts and byte strings are read without being kept, including one that is
+     * partially read; their tokens are then empty.
+     */
+    void setDiscardsPayloads(boolean discards) {
+        discardsPayloads = discards;
+        if (discards && payload != null) {
+            payload.discard();
+        }
     }
 
     /** Returns the memory that an incomplete text or byte string occupies, bytes. */
--- a/src/main/java/brooklock/platform/PartialMessageMemory.java
+++ b/src/main/java/brooklock/platform/PartialMessageMemory.java
@@ -5,9 +5,9 @@
 
 /**
  * Bounds the memory of the messages that a group of connections has received in part. When the
- * bound is exceeded, the connection whose message has gone without new bytes for longest is closed:
- * a peer that stopped in the middle of a message must not take the memory that the messages of
- * other peers need. Not thread-safe; owned by the I/O thread.
+ * account is exceeded, the message that has gone without new bytes for longest is given up: a peer
+ * that stopped in the middle of a message must not take the memory that the messages of other peers
+ * need. Not thread-safe; owned by the I/O thread.
  */
 final class PartialMessageMemory {
     /**
@@ -24,74 +24,76 @@
         boolean readAvailable();
 
         /**
-         * Closes the connection, because the partial messages of the group exceed the bound. Must
-         * pass 0 to {@link PartialMessageMemory#update} before it returns.
+         * Frees the memory of the partial message, because the messages of the group exceed the
+         * bound. Must pass 0 to {@link PartialMessageMemory#update} before it returns.
          */
-        void closeForMemory();
+        void giveUpPartialMessage();
     }
 
-    private long maxBytes;
+    private final MemoryBudget.Account account;
     // Ordered by the time of the last received byte, the longest ago first.
     private final Map<Holder, Integer> bytesByHolder = new LinkedHashMap<>();
-    private long totalBytes;
     private boolean enforcing;
 
     /**
      * Creates an empty group.
      *
-     * @param maxBytes maximum size of all partial messages together, bytes
+     * @param account the account of the memory of all partial messages; the group becomes its
+     *     reclaimer
      */
-    PartialMessageMemory(long maxBytes) {
-        this.maxBytes = maxBytes;
-    }
-
-    /** Sets the maximum size of all partial messages together, bytes. For tests. */
-    void setMaxBytes(long bytes) {
-        maxBytes = bytes;
+    PartialMessageMemory(MemoryBudget.Account account) {
+        this.account = account;
+        account.setReclaimer(() -> enforceBound(null));
     }
 
     /** Returns the size of all partial messages together, bytes. */
     long totalBytes() {
-        return totalBytes;
+        return account.usedBytes();
     }
 
     /**
-     * Records the memory of a connection's partial message and, if the bound is exceeded, closes
-     * connections. The specified connection may be among them. Must be called after each read and
-     * when the connection closes.
+     * Records the memory of a connection's partial message and, if the bound is exceeded, gives up
+     * messages. That of the specified connection may be among them. Must be called after each read
+     * and when the connection closes.
      *
      * @param holder the connection
      * @param bytes the memory of its partial message; 0 if it has none
      */
     void update(Holder holder, int bytes) {
         Integer previousBytes = bytesByHolder.remove(holder);
-        totalBytes -= previousBytes == null ? 0 : previousBytes;
         if (bytes > 0) {
             bytesByHolder.put(holder, bytes);
-            totalBytes += bytes;
         }
-        if (totalBytes > maxBytes && !enforcing) {
-            enforcing = true;
-            try {
-                enforceBound(holder);
-            } finally {
-                enforcing = false;
-            }
+        account.add(bytes - (previousBytes == null ? 0 : previousBytes));
+        if (account.isExceeded()) {
+            enforceBound(holder);
+        }
+    }
+
+    private void enforceBound(Holder current) {
+        if (enforcing) {
+            return;
+        }
+        enforcing = true;
+        try {
+            giveUpMessages(current);
+        } finally {
+            enforcing = false;
         }
     }
 
     // The last message is kept whatever its size: no other message needs its memory. Only as many
     // reads are made as there are messages at first, because peers that send at full speed could
     // otherwise prolong the loop indefinitely.
-    private void enforceBound(Holder current) {
+    private void giveUpMessages(Holder current) {
         int readsLeft = bytesByHolder.size();
-        while (totalBytes > maxBytes && bytesByHolder.size() > 1) {
+        while (account.isExceeded() && bytesByHolder.size() > 1) {
             Holder waitingLongest = bytesByHolder.keySet().iterator().next();
             // The connection that is being read must not be read again within that read.
             boolean progressed =
                     readsLeft-- > 0 && waitingLongest != current && waitingLongest.readAvailable();
             if (!progressed) {
-                waitingLongest.closeForMemory();
+                waitingLongest.giveUpPartialMessage();
             }
         }
     }
--- a/src/main/java/brooklock/platform/PendingClientRequestTable.java
+++ b/src/main/java/brooklock/platform/PendingClientRequestTable.java
@@ -11,27 +11,30 @@
     // Maximum number of open requests. A single core cannot serve as many within a deadline, so
     // further requests would only wait until they time out.
     private static final int MAX_PENDING_REQUESTS = 8192;
-    // All bodies of pending requests together may occupy at most the heap size divided by this;
-    // more would leave too little memory for responses.
-    private static final int BODY_HEAP_DIVISOR = 8;
+
+    /** Memory of a request with its attempts and timers, without its body, bytes. */
+    static final int REQUEST_BYTES = 2048;
+
     private static final long NS_PER_MS = 1_000_000L;
 
+    private final MemoryBudget.Account memory;
     private final Map<Long, PendingClientRequest> byRoutingId = new HashMap<>();
     private final Map<Long, PendingClientRequest> openByClientId = new HashMap<>();
     private long lastRoutingId;
     private int openCount;
-    private long totalBodyBytes;
-    private long maxBodyBytes = Runtime.getRuntime().maxMemory() / BODY_HEAP_DIVISOR;
 
-    /** Sets the maximum number of bytes in the bodies of all pending requests together. */
-    void setMaxBodyBytes(long bytes) {
-        maxBodyBytes = bytes;
+    /**
+     * Creates an empty table.
+     *
+     * @param memory the account of the memory of all requests
+     */
+    PendingClientRequestTable(MemoryBudget.Account memory) {
+        this.memory = memory;
     }
 
     /** Returns whether the request can be added without exceeding the bounds. */
     boolean canAccept(ClientRequest clientRequest) {
-        return openCount < MAX_PENDING_REQUESTS
-                && totalBodyBytes + clientRequest.body().length <= maxBodyBytes;
+        return openCount < MAX_PENDING_REQUESTS && memory.permits(memoryOf(clientRequest));
     }
 
     /**
@@ -55,11 +58,15 @@
                         messageId);
         byRoutingId.put(request.routingId(), request);
         openByClientId.put(clientRequest.id(), request);
-        totalBodyBytes += clientRequest.body().length;
+        memory.add(memoryOf(clientRequest));
         openCount++;
         return request;
     }
 
+    private static long memoryOf(ClientRequest clientRequest) {
+        return REQUEST_BYTES + clientRequest.body().length;
+    }
+
     /** Returns the request with the specified routing id, or null if it is finished. */
     PendingClientRequest get(long routingId) {
         return byRoutingId.get(routingId);
@@ -92,7 +99,7 @@
     /** Removes a request if it is finished. */
     void removeIfFinished(PendingClientRequest request) {
         if (request.isFinished() && byRoutingId.remove(request.routingId()) != null) {
-            totalBodyBytes -= request.clientRequest().body().length;
+            memory.add(-memoryOf(request.clientRequest()));
         }
     }
 }
--- a/src/main/java/brooklock/platform/PlatformDispatcher.java
+++ b/src/main/java/brooklock/platform/PlatformDispatcher.java
@@ -59,21 +59,28 @@
                         4 * ClientListener.MAX_CLOSING_CONNECTIONS,
                         config.maxDescriptors() - RESERVED_DESCRIPTORS);
         int clientDescriptors = (int) (descriptors * CLIENT_DESCRIPTOR_FRACTION);
+        MemoryBudget memory = new MemoryBudget(Runtime.getRuntime().maxMemory(), loop::execute);
         connector =
                 new EndpointConnector(
                         new DiscoveredEndpointTable(
                                 config.zones(), config.kinds(), clock::fromWallMs),
                         ConnectionSettings.of(
-                                loop, this::connect, config, descriptors - clientDescriptors));
+                                loop, this::connect, config, descriptors - clientDescriptors),
+                        memory);
         executor =
                 new RequestExecutor(
-                        RoutingStrategy.newRouter(config.routerSettings()), clock, loop, connector);
+                        RoutingStrategy.newRouter(config.routerSettings()),
+                        clock,
+                        loop,
+                        connector,
+                        memory);
         clientListener =
                 new ClientListener(
                         loop,
                         config.requestClasses(),
                         clientDescriptors - ClientListener.MAX_CLOSING_CONNECTIONS,
-                        executor);
+                        executor,
+                        memory);
         discoveryClient =
                 new DiscoveryClient(
                         loop,
--- a/src/main/java/brooklock/platform/RequestExecutor.java
+++ b/src/main/java/brooklock/platform/RequestExecutor.java
@@ -25,7 +25,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(RequestExecutor.class);
 
     private final DispatcherStats stats = new DispatcherStats();
-    private final PendingClientRequestTable requests = new PendingClientRequestTable();
+    private final PendingClientRequestTable requests;
     private final RoutingStrategy routingStrategy;
     private final MonotonicClock clock;
     private final TimerQueue timers;
@@ -41,12 +41,15 @@
      * @param clock the router's clock
      * @param loop the I/O thread that owns the executor
      * @param transport sends attempts
+     * @param memory bounds the memory of pending requests
      */
     RequestExecutor(
             RoutingStrategy routingStrategy,
             MonotonicClock clock,
             IoLoop loop,
-            AttemptTransport transport) {
+            AttemptTransport transport,
+            MemoryBudget memory) {
+        requests = new PendingClientRequestTable(memory.requests());
         this.routingStrategy = routingStrategy;
         this.clock = clock;
         this.transport = transport;
@@ -64,11 +67,6 @@
         return stats;
     }
 
-    /** Sets the maximum number of bytes in the bodies of all pending requests together. */
-    void setMaxBodyBytes(long bytes) {
-        requests.setMaxBodyBytes(bytes);
-    }
-
     /** Returns the number of requests without a final response. */
     int openRequests() {
         return requests.openCount();
--- a/src/main/java/brooklock/platform/RpcDecoder.java
+++ b/src/main/java/brooklock/platform/RpcDecoder.java
@@ -24,6 +24,7 @@
     // Maximum length of a method, field name or field value, bytes.
     private static final int MAX_TEXT_BYTES = 256;
     private static final long MAX_MESSAGE_ID = 0xffffffffL;
+    private static final int MAX_BYTES_PER_CHAR = 2;
     // Memory of a field beyond the characters of its name and value: two strings and a map entry.
     private static final int FIELD_OVERHEAD_BYTES = 150;
 
@@ -58,6 +59,7 @@
     private String fieldName;
     private Map<String, String> fields;
     private int fieldBytes;
+    private boolean discardingCall;
 
     /**
      * Decodes the next message. Reads at most one message from the buffer. Bytes of an incomplete
@@ -73,6 +75,8 @@
                 state = State.MESSAGE;
                 fields = null;
                 fieldBytes = 0;
+                discardingCall = false;
+                reader.setDiscardsPayloads(false);
                 return message;
             }
         }
@@ -89,6 +93,29 @@
         return fieldBytes + reader.partialBytes();
     }
 
+    /**
+     * Frees the memory of a partially received call. The rest of the call is read without being
+     * kept, and the call is then returned as a {@link RpcMessage.DiscardedCall}.
+     *
+     * @return whether there is such a call; false if so little of the message has been received
+     *     that it is not known to be a call with fields
+     */
+    boolean discardPartialCall() {
+        switch (state) {
+            case FIELD_NAME, FIELD_VALUE, BODY -> {
+                discardingCall = true;
+                fields = null;
+                fieldName = null;
+                fieldBytes = 0;
+                reader.setDiscardsPayloads(true);
+                return true;
+            }
+            default -> {
+                return false;
+            }
+        }
+    }
+
     private RpcMessage onToken() throws MalformedMessageException {
         switch (state) {
             case MESSAGE -> onElementCount();
@@ -180,6 +207,9 @@
     }
 
     private RpcMessage call(Map<String, String> callFields, byte[] body) {
+        if (discardingCall) {
+            return new RpcMessage.DiscardedCall(messageId);
+        }
         return method.equals(HEALTH_CHECK_METHOD)
                 ? new RpcMessage.HealthCheck(messageId)
                 : new RpcMessage.Call(messageId, method, callFields, body);
@@ -204,7 +234,11 @@
 
     private RpcMessage onFieldValue() throws MalformedMessageException {
         String value = readShortText();
-        fieldBytes += fieldName.length() + value.length() + FIELD_OVERHEAD_BYTES;
+        if (discardingCall) {
+            return onFieldComplete();
+        }
+        fieldBytes +=
+                MAX_BYTES_PER_CHAR * (fieldName.length() + value.length()) + FIELD_OVERHEAD_BYTES;
         if (fields.put(fieldName, value) != null) {
             throw new MalformedMessageException(
                     "expected distinct field names in the call with message id "
--- a/src/main/java/brooklock/platform/RpcMessage.java
+++ b/src/main/java/brooklock/platform/RpcMessage.java
@@ -22,6 +22,14 @@
     record Call(long messageId, String method, Map<String, String> fields, byte[] body)
             implements RpcMessage {}
 
+    /**
+     * A call whose fields and body were discarded while it was received; see {@link
+     * RpcDecoder#discardPartialCall}.
+     *
+     * @param messageId the id of the call
+     */
+    record DiscardedCall(long messageId) implements RpcMessage {}
+
     /**
      * A call that asks whether the dispatcher accepts new clients.
      *
--- a/src/main/java/brooklock/platform/StartupWarmup.java
+++ b/src/main/java/brooklock/platform/StartupWarmup.java
@@ -56,16 +56,22 @@
         this.loop = loop;
         this.config = config;
         MonotonicClock clock = new MonotonicClock();
+        MemoryBudget memory = new MemoryBudget(Runtime.getRuntime().maxMemory(), loop::execute);
         connector =
                 new EndpointConnector(
                         new DiscoveredEndpointTable(
                                 config.zones(), config.kinds(), clock::fromWallMs),
                         ConnectionSettings.of(
-                                loop, this::connect, config, CALLS_PER_ROUND * ENDPOINTS));
+                                loop, this::connect, config, CALLS_PER_ROUND * ENDPOINTS),
+                        memory);
         executor =
                 new RequestExecutor(
-                        RoutingStrategy.newRouter(config.routerSettings()), clock, loop, connector);
-        clientListener = new ClientListener(loop, config.requestClasses(), 1, executor);
+                        RoutingStrategy.newRouter(config.routerSettings()),
+                        clock,
+                        loop,
+                        connector,
+                        memory);
+        clientListener = new ClientListener(loop, config.requestClasses(), 1, executor, memory);
     }
 
     /** Opens the configuration of the warm-up, a resource of this package. */
