Answer open requests before closing a connection for a slow message

Cause: a message without progress for 2 s, or of over 6 s, closed its connection and cancelled the open requests on it. Change: such a message and all further input are dropped, and the connection closes once its open requests are answered; the bound of 2 s without progress holds for the first message of a connection only. It works because open requests no longer end with a message that is not theirs.

--- a/src/main/java/brooklock/platform/ClientConnection.java
+++ b/src/main/java/brooklock/platform/ClientConnection.java
@@ -14,10 +14,11 @@
  * <p>A connection is idle while no request is open, no call is partially read and no response waits
  * to be written; otherwise it is busy.
  *
- * <p>A connection is closed immediately when the client has closed it, stops sending in the middle
- * of a message, or does not read its responses. It is closed gracefully when it has been idle for
- * too long, when it is evicted in favour of a new connection, when the dispatcher shuts down, and
- * when its input is malformed. During a shutdown only a bounded number of messages is processed. A
+ * <p>A connection is closed immediately when the client has closed it or does not read its
+ * responses. When the client does not complete a message in time, the connection is closed as soon
+ * as its open requests have been answered. It is closed gracefully when it has been idle for too
+ * long, when it is evicted in favour of a new connection, when the dispatcher shuts down, and when
+ * its input is malformed. During a shutdown only a bounded number of messages is processed. A
  * graceful close writes the pending responses, shuts down output, and then reads and drops input
  * until the client closes its side: closing a socket with unread input would reset the connection,
  * and responses already written would be lost. Open requests are cancelled when their connection
@@ -37,9 +38,9 @@
     // several times the open calls of a client that cancels or repeats each of them. Further input
     // is discarded; otherwise a client that never stops sending could prevent the shutdown.
     private static final int MAX_MESSAGES_DURING_SHUTDOWN = 8 * MAX_OPEN_CALLS;
-    // Time within which the next bytes of a message, or the first byte on a new connection, must
-    // arrive, ns.
-    private static final long MESSAGE_PROGRESS_TIMEOUT_NS = 2_000_000_000L;
+    // Time within which the next bytes of the first message, or the first byte on a new connection,
+    // must arrive, ns. Later messages are bounded by their whole duration only.
+    private static final long FIRST_MESSAGE_PROGRESS_TIMEOUT_NS = 2_000_000_000L;
     // Time for a client to close its side after output has been shut down, ns; enough for many
     // round trips.
     private static final long CLOSE_TIMEOUT_NS = 1_000_000_000L;
@@ -47,7 +48,7 @@
     private final ClientListener listener;
     private final RawConnection transport;
     private final ClientOutput output;
-    private final RpcDecoder decoder = new RpcDecoder();
+    private RpcDecoder decoder = new RpcDecoder();
     private final Map<Long, PendingClientRequest> openRequests = new HashMap<>();
     private final Map<Long, RpcMessage.Call> unsubmittedCalls = new LinkedHashMap<>();
     private long idleSinceNs = System.nanoTime();
@@ -68,7 +69,7 @@
 
     /** Starts reading from the client. */
     void start() {
-        transport.setTimeout(MESSAGE_PROGRESS_TIMEOUT_NS);
+        transport.setTimeout(FIRST_MESSAGE_PROGRESS_TIMEOUT_NS);
         transport.start(this);
     }
 
@@ -156,8 +157,8 @@
             }
             messageIncomplete =
                     !discardsInput && (decoder.hasPartialMessage() || input.hasRemaining());
-            checkMessageDuration(messageStarted);
             submitReceivedCalls();
+            checkMessageDuration(messageStarted);
             if (!transport.isClosed()) {
                 updateTimeout();
                 listener.partialCalls().update(this, discardsInput ? 0 : decoder.partialBytes());
@@ -169,9 +170,8 @@
 
     // Returns the next message, or null if more input is needed or input is discarded.
     private RpcMessage nextMessage(ByteBuffer input) throws MalformedMessageException {
-        if (listener.isRejectingRequests()
-                && messagesDuringShutdown == MAX_MESSAGES_DURING_SHUTDOWN) {
-            discardsInput = true;
+        discardsInput |= messagesDuringShutdown == MAX_MESSAGES_DURING_SHUTDOWN;
+        if (discardsInput) {
             input.position(input.limit());
             return null;
         }
@@ -208,23 +208,51 @@
     // Bounds the duration of a whole message. The progress timeout alone is not enough: a client
     // that sends one byte at a time restarts it with each byte and could occupy its connection
     // indefinitely.
-    private void checkMessageDuration(boolean messageStarted) throws MalformedMessageException {
+    private void checkMessageDuration(boolean messageStarted) {
         if (messageStarted) {
             messageStartedAtNs = System.nanoTime();
-        } else if (System.nanoTime() - messageStartedAtNs > listener.messageTimeoutNs()) {
-            throw new MalformedMessageException(
+        } else if (remainingMessageTimeNs() < 0) {
+            closeAfterResponses(
                     "expected a complete message within "
                             + listener.messageTimeoutNs() / 1_000_000
                             + " ms of its first byte but the message is still incomplete");
         }
     }
 
+    private long remainingMessageTimeNs() {
+        return listener.messageTimeoutNs() - (System.nanoTime() - messageStartedAtNs);
+    }
+
+    // Drops the incomplete message and all further input, and closes the connection once its open
+    // requests have been answered: these are complete and must not suffer from the incomplete one.
+    private void closeAfterResponses(String reason) {
+        listener.logClientFault(reason);
+        discardsInput = true;
+        messageIncomplete = false;
+        decoder = new RpcDecoder();
+        listener.partialCalls().update(this, 0);
+        if (!output.isPending()) {
+            transport.clearTimeout();
+        }
+        closeIfAllAnswered();
+    }
+
+    private void closeIfAllAnswered() {
+        if (discardsInput && isIdle()) {
+            closeGracefully();
+        }
+    }
+
     private void updateTimeout() {
         if (output.isPending()) {
             return;
         }
         if (messageIncomplete) {
-            transport.setTimeout(MESSAGE_PROGRESS_TIMEOUT_NS);
+            long remainingNs = Math.max(1, remainingMessageTimeNs());
+            transport.setTimeout(
+                    hasSentMessage
+                            ? remainingNs
+                            : Math.min(remainingNs, FIRST_MESSAGE_PROGRESS_TIMEOUT_NS));
         } else if (hasSentMessage) {
             transport.clearTimeout();
         }
@@ -365,6 +393,7 @@
         output.write(buffers);
         reportOutputMemory();
         listener.onOutputQueued();
+        closeIfAllAnswered();
     }
 
     @Override
@@ -372,14 +401,20 @@
         output.onAllWritten();
         reportOutputMemory();
         updateTimeout();
+        closeIfAllAnswered();
     }
 
     @Override
     public void onTimeout() {
-        if (!output.continueAfterTimeout()) {
+        if (output.continueAfterTimeout()) {
+            return;
+        }
+        if (output.isPending() || openRequests.isEmpty()) {
             listener.logClientFault(
                     "a client that neither sends nor reads; its connection is closed");
             close();
+        } else {
+            closeAfterResponses("a client that does not complete its message");
         }
     }
 
--- a/src/test/java/brooklock/platform/PartialMessageMemoryTest.java
+++ b/src/test/java/brooklock/platform/PartialMessageMemoryTest.java
@@ -219,6 +219,34 @@
         }
     }
 
+    /**
+     * Guards against the loss of open requests to a call that is sent too slowly: the call must be
+     * given up, but the connection may close only after the open request has its response.
+     */
+    @Test
+    void aCallThatIsSentTooSlowlyCostsNoOtherRequest() throws Exception {
+        fixture.onIoThread(
+                () -> {
+                    fixture.clientListener.setMessageTimeoutNs(100_000_000);
+                    return null;
+                });
+        try (RpcTestClient client = new RpcTestClient(fixture.address)) {
+            DispatcherFixture.EndpointPeer endpoint = sendRead(client, 7);
+            client.send(Arrays.copyOf(write(0x54), RpcDecoder.MAX_BODY_BYTES / 2));
+            while (partialCallBytes() == 0) {
+                TimeUnit.MILLISECONDS.sleep(2);
+            }
+            while (partialCallBytes() > 0) {
+                TimeUnit.MILLISECONDS.sleep(2);
+            }
+            endpoint.respond(Frame.OK, 7, "rev=1");
+            RpcTestClient.Response served = client.response();
+            assertEquals(7, served.messageId());
+            assertNull(served.error());
+            assertNull(client.response());
+        }
+    }
+
     private long partialCallBytes() throws Exception {
         return fixture.onIoThread(() -> fixture.memory.partialCalls().usedBytes());
     }
