Write the responses to all calls of one read together

Cause: a system call for each response; a buffer of 16 KB holds a thousand such calls, so the turn of one connection took over 10 ms. Change: ClientOutput has batches; the responses within one read go out in one write. It works because the cost of a turn no longer grows with the number of calls in it as fast. No test: it would assert on speed. The tests of calls, limits and closes pass.

--- a/src/main/java/brooklock/net/RawConnection.java
+++ b/src/main/java/brooklock/net/RawConnection.java
@@ -130,14 +130,33 @@
             return;
         }
         boolean wasEmpty = writeQueue.isEmpty();
-        for (ByteBuffer buffer : buffers) {
-            writeQueue.add(buffer);
-        }
+        enqueue(buffers);
         if (wasEmpty) {
             onWritable();
         }
     }
 
+    /**
+     * Queues buffers that {@link #flush} or {@link #closeGracefully} will write. Does nothing after
+     * a close.
+     *
+     * @param buffers the buffers, which must not be modified until they are written
+     */
+    public void enqueue(ByteBuffer... buffers) {
+        if (!isClosed()) {
+            for (ByteBuffer buffer : buffers) {
+                writeQueue.add(buffer);
+            }
+        }
+    }
+
+    /** Writes the buffers that have been queued. Does nothing after a close. */
+    public void flush() {
+        if (!isClosed() && !writeQueue.isEmpty()) {
+            onWritable();
+        }
+    }
+
     /** Returns the number of bytes that are queued to be written. */
     public long pendingBytes() {
         return writeQueue.pendingBytes();
@@ -194,6 +213,7 @@
         gracefulCloseCallback = onClosed;
         releaseInput();
         try {
+            flushOutput();
             shutDownOutputOnceFlushed();
         } catch (IOException e) {
             close();
--- a/src/main/java/brooklock/platform/ClientConnection.java
+++ b/src/main/java/brooklock/platform/ClientConnection.java
@@ -145,6 +145,7 @@
 
     @Override
     public void onBytes(ByteBuffer input) {
+        output.startBatch();
         try {
             boolean messageStarted = !messageIncomplete;
             for (RpcMessage message = nextMessage(input);
@@ -165,6 +166,9 @@
             }
         } catch (MalformedMessageException e) {
             closeForFault(e.getMessage());
+        } finally {
+            output.endBatch();
+            onOutputWritten();
         }
     }
 
@@ -391,6 +395,12 @@
     private void write(ByteBuffer... buffers) {
         idleSinceNs = System.nanoTime();
         output.write(buffers);
+        if (!output.isBatching()) {
+            onOutputWritten();
+        }
+    }
+
+    private void onOutputWritten() {
         reportOutputMemory();
         listener.onOutputQueued();
         closeIfAllAnswered();
--- a/src/main/java/brooklock/platform/ClientOutput.java
+++ b/src/main/java/brooklock/platform/ClientOutput.java
@@ -20,6 +20,7 @@
     private static final long BUFFER_OVERHEAD_BYTES = RpcEncoder.HEAD_CAPACITY_BYTES + 64;
 
     private final RawConnection transport;
+    private boolean batching;
     private boolean pending;
     private long writtenBytesAtLastCheck;
 
@@ -27,9 +28,43 @@
         this.transport = transport;
     }
 
-    /** Writes a response, or queues what the socket does not accept at once. */
+    /**
+     * Writes a response, or queues it within a batch. What the socket does not accept is queued,
+     * too.
+     */
     void write(ByteBuffer... buffers) {
-        transport.write(buffers);
+        if (batching) {
+            transport.enqueue(buffers);
+        } else {
+            transport.write(buffers);
+            onWritten();
+        }
+    }
+
+    /**
+     * Starts a batch. The responses to all calls in a batch are written together: a system call for
+     * each would let a client that sends small calls at full speed occupy the I/O thread.
+     */
+    void startBatch() {
+        batching = true;
+    }
+
+    /** Ends a batch and writes its responses. */
+    void endBatch() {
+        batching = false;
+        transport.flush();
+        onWritten();
+    }
+
+    /** Returns whether a batch has been started and not ended. */
+    boolean isBatching() {
+        return batching;
+    }
+
+    private void onWritten() {
+        if (transport.isClosed()) {
+            return;
+        }
         if (transport.pendingBytes() > 0 && !pending) {
             pending = true;
             startTimeout();
