Submit calls only after looking for the end of their connection

Cause: a call was submitted when its last byte was decoded, with the end of the input unread behind it; and a failed write ended the connection only in a later task, after the rest of the input. Evidence: ConnectionCloseTest.callsOfAClientThatHasLeftAreNotForwarded failed before. Change: RawConnection reads until no input is left, at most one full buffer a turn, and tells its listener the end of the turn; ClientConnection submits then, or after 100 ms, counts what it holds, and submits nothing after a failed write. It works because the end of a connection is seen before its calls are carried out.

--- a/src/main/java/brooklock/net/RawConnection.java
+++ b/src/main/java/brooklock/net/RawConnection.java
@@ -14,8 +14,8 @@
  * before any other. The connection ends with {@link #close} or {@link #closeGracefully}, or when
  * the listener's {@link EventListener#onClose} is called.
  *
- * <p>At most one buffer is read each time the socket is ready, so that a peer that sends at full
- * speed does not starve the other connections of the thread.
+ * <p>A turn of reading takes at most one full buffer, so that a peer that sends at full speed does
+ * not starve the other connections of the thread.
  */
 public final class RawConnection extends Connection {
     /**
@@ -33,6 +33,16 @@
          */
         void onBytes(ByteBuffer input);
 
+        /**
+         * Called at the end of each turn of reading in which {@link #onBytes} has been called, or
+         * which follows one that has left input, unless the connection was closed in it. If the
+         * peer has closed the connection right after its last bytes, {@link #onClose} is called
+         * instead, so that a listener can defer work until the peer is known to be still there.
+         *
+         * @param drained whether no input is left; otherwise this method is called again
+         */
+        default void onReadComplete(boolean drained) {}
+
         /** Called when the socket has accepted all output that had been queued. */
         default void onAllWritten() {}
 
@@ -54,6 +64,9 @@
      */
     private static final long MAX_DISCARDED_BYTES = 256 * 1024;
 
+    /** Time after which a turn that may have left input has left none if no other followed, ns. */
+    private static final long END_OF_INPUT_DELAY_NS = 20_000_000L;
+
     private static final Logger LOG = LoggerFactory.getLogger(RawConnection.class);
 
     private EventListener listener;
@@ -63,6 +76,14 @@
     private Runnable gracefulCloseCallback;
 
     private boolean outputShutDown;
+
+    private boolean outputLost;
+    private long turns;
+    private boolean endOfInputScheduled;
+
+    /** Whether the last turn of reading has left no input. */
+    private boolean drained = true;
+
     private long discardedBytes;
 
     RawConnection(IoLoop loop, StreamConnection channel) {
@@ -109,13 +130,13 @@
     }
 
     /**
-     * Reads input that is available now, at most one buffer, and passes it to the listener. Does
-     * nothing while reading is suspended or after a close.
+     * Takes a turn of reading: reads input that is available now and passes it to the listener.
+     * Does nothing while reading is suspended or after a close.
      *
      * @return whether any input was available
      */
     public boolean readNow() {
-        return !isClosed() && reading && readAvailable();
+        return !isClosed() && readTurn();
     }
 
     /**
@@ -194,6 +215,14 @@
         return closed || gracefulCloseCallback != null;
     }
 
+    /**
+     * Returns whether a write has failed, so that the peer receives no more output. The close of
+     * the connection is reported in a later task.
+     */
+    public boolean isOutputLost() {
+        return outputLost;
+    }
+
     /**
      * Closes the connection once the queued output has been written. The sending side is then shut
      * down, and further input is read and discarded until the peer closes too. Closing the socket
@@ -245,35 +274,96 @@
 
     @Override
     void onReadable() {
-        readAvailable();
+        readTurn();
+    }
+
+    // Reads until no input is left, but at most one full buffer. A buffer with room left does not
+    // prove that the input has ended: the peer may have closed the connection behind it. Returns
+    // whether any input was available.
+    private boolean readTurn() {
+        turns++;
+        boolean wasDrained = drained;
+        ReadResult result = readOnce();
+        boolean inputRead = result != ReadResult.NOTHING;
+        for (int reads = 1; result == ReadResult.PART && reads < MAX_READS_PER_TURN; reads++) {
+            result = readOnce();
+        }
+        drained = result == ReadResult.NOTHING;
+        if (inputRead || !wasDrained) {
+            onReadComplete();
+        }
+        return inputRead;
     }
 
-    // Returns whether any input was available.
-    private boolean readAvailable() {
+    private void onReadComplete() {
+        if (!drained) {
+            scheduleEndOfInput();
+        }
+        if (!isClosed()) {
+            callListener(() -> listener.onReadComplete(drained));
+        }
+    }
+
+    // After a turn that may have left input, the socket is ready only if it has. If no turn
+    // follows,
+    // none was left. The task does not read itself: the tasks of many connections whose peers send
+    // at full speed would keep the thread from polling the other sockets.
+    private void scheduleEndOfInput() {
+        if (endOfInputScheduled) {
+            return;
+        }
+        endOfInputScheduled = true;
+        long lastTurn = turns;
+        loop.schedule(
+                END_OF_INPUT_DELAY_NS,
+                () -> {
+                    endOfInputScheduled = false;
+                    if (!closed && !drained) {
+                        drained = turns == lastTurn;
+                        onReadComplete();
+                    }
+                });
+    }
+
+    private enum ReadResult {
+        NOTHING,
+        PART,
+        FULL_BUFFER
+    }
+
+    private ReadResult readOnce() {
         if (closed || !reading) {
-            return false;
+            return ReadResult.NOTHING;
         }
-        int bytesRead = 0;
         try {
-            bytesRead = readInput();
+            int bytesRead = readInput();
             if (bytesRead < 0) {
                 onConnectionLost("closed by the peer");
-                return false;
-            }
-            if (gracefulCloseCallback != null) {
+            } else if (gracefulCloseCallback != null) {
                 discard(bytesRead);
-                return false;
+            } else {
+                ReadResult result =
+                        bytesRead == 0
+                                ? ReadResult.NOTHING
+                                : input.hasRemaining() ? ReadResult.PART : ReadResult.FULL_BUFFER;
+                callListener(() -> consume(bytesRead));
+                return result;
             }
-            consume(bytesRead);
         } catch (IOException e) {
             onConnectionLost(String.valueOf(e.getMessage()));
+        }
+        return ReadResult.NOTHING;
+    }
+
+    // A bug in the listener closes only this connection. If it stayed open, its unconsumed bytes
+    // would be passed to the listener again and again.
+    private void callListener(Runnable call) {
+        try {
+            call.run();
         } catch (RuntimeException e) {
-            // A bug in the listener closes only this connection. If it stayed open, its unconsumed
-            // bytes would be passed to the listener again and again.
             LOG.error("a connection's input could not be processed", e);
             onConnectionLost("internal error while processing input");
         }
-        return bytesRead > 0;
     }
 
     private void consume(int bytesRead) {
@@ -315,6 +405,7 @@
         } catch (IOException e) {
             // Reported in a later task: the caller of write does not expect onClose to be called
             // before write returns.
+            outputLost = true;
             String reason = String.valueOf(e.getMessage());
             loop.execute(() -> onConnectionLost(reason));
         }
--- a/src/main/java/brooklock/platform/ClientConnection.java
+++ b/src/main/java/brooklock/platform/ClientConnection.java
@@ -41,6 +41,8 @@
     // Time within which the next bytes of the first message, or the first byte on a new connection,
     // must arrive, ns. Later messages are bounded by their whole duration only.
     private static final long FIRST_MESSAGE_PROGRESS_TIMEOUT_NS = 2_000_000_000L;
+    // Maximum time for which calls are held back because more input follows them, ns.
+    private static final long MAX_SUBMISSION_DELAY_NS = 100_000_000L;
     // Time for a client to close its side after output has been shut down, ns; enough for many
     // round trips.
     private static final long CLOSE_TIMEOUT_NS = 1_000_000_000L;
@@ -52,6 +54,7 @@
     private final Map<Long, PendingClientRequest> openRequests = new HashMap<>();
     private final Map<Long, RpcMessage.Call> unsubmittedCalls = new LinkedHashMap<>();
     private long idleSinceNs = System.nanoTime();
+    private long submissionDueNs;
     private long messageStartedAtNs;
     private int invalidCalls;
     private int messagesDuringShutdown;
@@ -80,13 +83,14 @@
     boolean isIdle() {
         return !transport.isClosed()
                 && openRequests.isEmpty()
+                && unsubmittedCalls.isEmpty()
                 && pendingWriteBytes() == 0
                 && !messageIncomplete;
     }
 
     /**
      * Closes the connection gracefully if it is idle and the operating system holds no input of it.
-     * Input that is available is read instead, at most one buffer, and the connection stays open:
+     * Input that is available is read instead, for one turn, and the connection stays open:
      * otherwise a call that has arrived but has not been read would be lost. The caller tries again
      * later; reading on until no input is left would let a client that sends at full speed hold the
      * I/O thread for as long as it sends.
@@ -147,29 +151,53 @@
     public void onBytes(ByteBuffer input) {
         output.startBatch();
         try {
-            boolean messageStarted = !messageIncomplete;
-            for (RpcMessage message = nextMessage(input);
-                    message != null && !transport.isClosed();
-                    message = nextMessage(input)) {
-                hasSentMessage = true;
-                messageStarted = true;
-                idleSinceNs = System.nanoTime();
-                onMessage(message);
-            }
-            messageIncomplete =
-                    !discardsInput && (decoder.hasPartialMessage() || input.hasRemaining());
-            submitReceivedCalls();
-            checkMessageDuration(messageStarted);
-            if (!transport.isClosed()) {
-                updateTimeout();
-                listener.partialCalls().update(this, discardsInput ? 0 : decoder.partialBytes());
-            }
+            decode(input);
         } catch (MalformedMessageException e) {
             closeForFault(e.getMessage());
         } finally {
-            output.endBatch();
-            onOutputWritten();
+            endBatch();
+        }
+    }
+
+    // Calls are submitted only once no input is left, so that a call which is cancelled, or whose
+    // client has closed the connection, does not reach an endpoint. The delay is bounded, because
+    // there may always be input left.
+    @Override
+    public void onReadComplete(boolean drained) {
+        if (!unsubmittedCalls.isEmpty() && (drained || System.nanoTime() - submissionDueNs >= 0)) {
+            submitReceivedCalls();
+        }
+    }
+
+    private void endBatch() {
+        output.endBatch();
+        onOutputWritten();
+    }
+
+    private void decode(ByteBuffer input) throws MalformedMessageException {
+        boolean messageStarted = !messageIncomplete;
+        for (RpcMessage message = nextMessage(input);
+                message != null && !isGone();
+                message = nextMessage(input)) {
+            hasSentMessage = true;
+            messageStarted = true;
+            idleSinceNs = System.nanoTime();
+            onMessage(message);
+        }
+        messageIncomplete = !discardsInput && (decoder.hasPartialMessage() || input.hasRemaining());
+        checkMessageDuration(messageStarted);
+        if (!transport.isClosed()) {
+            updateTimeout();
+            updateHeldMemory();
+        }
+    }
+
+    private void updateHeldMemory() {
+        int bytes = discardsInput ? 0 : decoder.partialBytes();
+        for (RpcMessage.Call call : unsubmittedCalls.values()) {
+            bytes += call.body().length;
         }
+        listener.partialCalls().update(this, bytes);
     }
 
     // Returns the next message, or null if more input is needed or input is discarded.
@@ -202,7 +230,10 @@
     // closed instead, the client would also lose the responses to its open requests.
     @Override
     public void giveUpPartialMessage() {
-        if (decoder.discardPartialCall()) {
+        if (!unsubmittedCalls.isEmpty()) {
+            submitReceivedCalls();
+        }
+        if (decoder.discardPartialCall() || decoder.partialBytes() == 0) {
             listener.partialCalls().update(this, 0);
         } else {
             closeForFault("the partially received calls of all clients take too much memory");
@@ -285,6 +316,9 @@
                             + " open calls per connection but received another call, with message id "
                             + messageId);
         } else {
+            if (unsubmittedCalls.isEmpty()) {
+                submissionDueNs = System.nanoTime() + MAX_SUBMISSION_DELAY_NS;
+            }
             unsubmittedCalls.put(messageId, (RpcMessage.Call) message);
         }
     }
@@ -299,13 +333,29 @@
         }
     }
 
-    // Calls received in one read are submitted only after all of that input has been decoded, so
-    // that a call which is cancelled in the same read never reaches an endpoint.
-    private void submitReceivedCalls() throws MalformedMessageException {
-        for (RpcMessage.Call call : unsubmittedCalls.values()) {
-            submit(call);
+    private void submitReceivedCalls() {
+        output.startBatch();
+        try {
+            List<RpcMessage.Call> calls = List.copyOf(unsubmittedCalls.values());
+            unsubmittedCalls.clear();
+            for (RpcMessage.Call call : calls) {
+                if (!isGone()) {
+                    submit(call);
+                }
+            }
+        } catch (MalformedMessageException e) {
+            closeForFault(e.getMessage());
+        } finally {
+            endBatch();
         }
-        unsubmittedCalls.clear();
+        if (!transport.isClosed()) {
+            updateHeldMemory();
+        }
+    }
+
+    // Returns whether no response can reach the client any more.
+    private boolean isGone() {
+        return transport.isClosed() || transport.isOutputLost();
     }
 
     private void submit(RpcMessage.Call call) throws MalformedMessageException {
@@ -443,6 +493,7 @@
     }
 
     private void cancelOpenRequests() {
+        unsubmittedCalls.clear();
         for (PendingClientRequest request : List.copyOf(openRequests.values())) {
             listener.executor().cancelByClient(request);
         }
--- a/src/test/java/brooklock/platform/ConnectionCloseTest.java
+++ b/src/test/java/brooklock/platform/ConnectionCloseTest.java
@@ -225,6 +225,24 @@
         assertRejected(client);
     }
 
+    /**
+     * Guards against requests that are sent on for a client that has left: the client closes its
+     * connection while its calls are unread, so nobody would receive the responses.
+     */
+    @Test
+    void callsOfAClientThatHasLeftAreNotForwarded() throws Exception {
+        awaitHealthCheck();
+        Runnable release = fixture.blockIoThread();
+        client.getOutputStream().write(read(2, 0x29));
+        client.getOutputStream().write(read(3, 0x2a));
+        client.close();
+        release.run();
+        while (fixture.onIoThread(fixture.clientListener::connectionCount) > 0) {
+            Thread.onSpinWait();
+        }
+        assertTrue(fixture.allEvents.stream().noneMatch(RequestReceived.class::isInstance));
+    }
+
     /**
      * Guards against a shutdown that stands still: a client cancels calls at full speed, so that
      * each read ends at the end of a message and leaves its connection idle. Other clients must get
