Refuse an id again once its request has been sent and may not be repeated

Cause: an id was known only as long as its request was open. Change: RecentIdSet remembers the ids of the last 32,768 requests at least that were sent to an endpoint and are not idempotent; one that comes again is answered Invalid. The protocol makes every id new, also that of a client's retry. It works because the id outlives its request, in memory that is bounded.

--- a/src/main/java/brooklock/platform/ClientConnection.java
+++ b/src/main/java/brooklock/platform/ClientConnection.java
@@ -368,13 +368,13 @@
             return;
         }
         RequestExecutor executor = listener.executor();
-        if (executor.isOpen(clientRequest.id())) {
+        if (executor.isIdInUse(clientRequest)) {
             respondClientFault(
                     messageId,
                     RpcError.INVALID,
-                    "expected a request id that no open request uses in field "
+                    "expected a new request id in field "
                             + ClientRequestParser.ID
-                            + " but received the id of an open request in the call with message id "
+                            + " but received one that is in use in the call with message id "
                             + messageId);
         } else if (listener.isRejectingRequests() || !executor.canAccept(clientRequest)) {
             write(RpcEncoder.error(messageId, RpcError.REJECTED));
--- a/src/main/java/brooklock/platform/ClientRequest.java
+++ b/src/main/java/brooklock/platform/ClientRequest.java
@@ -13,6 +13,7 @@
  * @param sizeKb the size of the part, KB; 0 if unknown
  * @param timeoutMs the time for which the client waits for the response, ms
  * @param clientRetry whether the client marked the request as a retry
+ * @param idempotent whether the request may be executed more than once
  * @param idempotencyKey the idempotency key; null if the class does not require one
  * @param etag the entity tag of the client's copy; null if the client has none
  * @param body the body that the request writes; empty if it has none
@@ -28,6 +29,7 @@
         double sizeKb,
         int timeoutMs,
         boolean clientRetry,
+        boolean idempotent,
         String idempotencyKey,
         String etag,
         byte[] body) {
--- a/src/main/java/brooklock/platform/ClientRequestParser.java
+++ b/src/main/java/brooklock/platform/ClientRequestParser.java
@@ -94,6 +94,7 @@
                 parseSizeKb(fields.get(SIZE)),
                 timeoutMs,
                 clientRetry,
+                requestClass.idempotent(),
                 idempotencyKey,
                 etag,
                 call.body());
--- a/src/main/java/brooklock/platform/EndpointConnector.java
+++ b/src/main/java/brooklock/platform/EndpointConnector.java
@@ -148,7 +148,7 @@
                 || !isCurrent(attempt)) {
             return Optional.empty();
         }
-        attempt.setStartedAtNs(nowNs);
+        executor.onAttemptStarted(attempt);
         return Optional.of(
                 RequestFrameEncoder.encode(
                         attempt.clientRequest(),
--- a/src/main/java/brooklock/platform/PlatformConfigReader.java
+++ b/src/main/java/brooklock/platform/PlatformConfigReader.java
@@ -118,6 +118,7 @@
                     new RequestClassRules(
                             i,
                             settings.idempotency() == Idempotency.IDEMPOTENCY_KEY,
+                            settings.idempotency() == Idempotency.IDEMPOTENT,
                             settings.passThrough(),
                             (long) Math.ceil(maxTimeoutNs / NS_PER_MS)));
         }
--- a/src/main/java/brooklock/platform/RequestClassRules.java
+++ b/src/main/java/brooklock/platform/RequestClassRules.java
@@ -5,8 +5,13 @@
  *
  * @param index the router's index of the class
  * @param requiresIdempotencyKey whether each request must have an idempotency key
+ * @param idempotent whether a request may be executed more than once
  * @param acceptsBody whether requests may have a body
  * @param maxTimeoutMs the longest time for which a client may wait for a response, ms
  */
 record RequestClassRules(
-        int index, boolean requiresIdempotencyKey, boolean acceptsBody, long maxTimeoutMs) {}
+        int index,
+        boolean requiresIdempotencyKey,
+        boolean idempotent,
+        boolean acceptsBody,
+        long maxTimeoutMs) {}
--- a/src/main/java/brooklock/platform/RequestExecutor.java
+++ b/src/main/java/brooklock/platform/RequestExecutor.java
@@ -23,6 +23,8 @@
  */
 final class RequestExecutor {
     private static final Logger LOG = LoggerFactory.getLogger(RequestExecutor.class);
+    // Number of ids of sent requests that are remembered at least: those of some minutes.
+    private static final int REMEMBERED_IDS = 32_768;
 
     private final DispatcherStats stats = new DispatcherStats();
     private final PendingClientRequestTable requests;
@@ -30,6 +32,8 @@
     private final MonotonicClock clock;
     private final TimerQueue timers;
     private final AttemptTransport transport;
+    // The ids of the requests that have been sent to an endpoint and may not be executed twice.
+    private final RecentIdSet sentIds = new RecentIdSet(REMEMBERED_IDS);
     private final ArrayDeque<RouterEvent> queuedEvents = new ArrayDeque<>();
     private final List<RouterAction> actions = new ArrayList<>();
     private boolean processingEvents;
@@ -77,9 +81,14 @@
         return clock.nowNs();
     }
 
-    /** Returns whether a request with the specified client id has no final response yet. */
-    boolean isOpen(long clientId) {
-        return requests.isOpen(clientId);
+    /**
+     * Returns whether the id of a request is in use: another request with it has no final response
+     * yet, or has been sent to an endpoint and may not be executed twice. The latter is not known
+     * for all time.
+     */
+    boolean isIdInUse(ClientRequest clientRequest) {
+        return requests.isOpen(clientRequest.id())
+                || (!clientRequest.idempotent() && sentIds.contains(clientRequest.id()));
     }
 
     /** Returns whether the request can be accepted; otherwise the caller must reject it. */
@@ -89,7 +98,8 @@
 
     /**
      * Accepts a request. Must be called only if {@link #canAccept} returns true and the id of the
-     * request is not {@linkplain #isOpen open}. The caller must call {@link #route} afterwards.
+     * request is not {@linkplain #isIdInUse in use}. The caller must call {@link #route}
+     * afterwards.
      *
      * @param clientRequest the request as the client sent it
      * @param connection the connection to which the response is written
@@ -119,6 +129,15 @@
                         request.deadlineNs()));
     }
 
+    /** Called when the request frame of an attempt is about to be written. */
+    void onAttemptStarted(EndpointAttempt attempt) {
+        attempt.setStartedAtNs(clock.nowNs());
+        ClientRequest clientRequest = attempt.clientRequest();
+        if (!clientRequest.idempotent()) {
+            sentIds.add(clientRequest.id());
+        }
+    }
+
     /** Completes a request whose client has disconnected or cancelled it. No response is sent. */
     void cancelByClient(PendingClientRequest request) {
         if (!request.isCompleted()) {
--- a/src/test/java/brooklock/platform/PlatformConfigReaderTest.java
+++ b/src/test/java/brooklock/platform/PlatformConfigReaderTest.java
@@ -28,9 +28,9 @@
         assertEquals(
                 Map.of(
                         "pages",
-                        new RequestClassRules(0, false, false, 2500),
+                        new RequestClassRules(0, false, true, false, 2500),
                         "orders",
-                        new RequestClassRules(1, true, true, 3000)),
+                        new RequestClassRules(1, true, false, true, 3000)),
                 config.requestClasses());
     }
 
--- a/src/test/java/brooklock/platform/RequestMemoryTest.java
+++ b/src/test/java/brooklock/platform/RequestMemoryTest.java
@@ -61,6 +61,7 @@
                         20,
                         HOUR_MS,
                         false,
+                        true,
                         null,
                         null,
                         new byte[0]);
--- a/src/test/java/brooklock/platform/ResponseFrameDecoderTest.java
+++ b/src/test/java/brooklock/platform/ResponseFrameDecoderTest.java
@@ -19,7 +19,19 @@
 
     private static ClientRequest request(String etag) {
         return new ClientRequest(
-                1, 0, "pages", "000000000000007f", 0, 0, 0, 1000, false, null, etag, new byte[0]);
+                1,
+                0,
+                "pages",
+                "000000000000007f",
+                0,
+                0,
+                0,
+                1000,
+                false,
+                true,
+                null,
+                etag,
+                new byte[0]);
     }
 
     private static AttemptResult decode(int code, Map<String, String> fields, String etag)
