Identify a process by its endpoint, address and start time

Cause: connection pools were kept by name and address and did not heed the start time; two endpoints of the list could have one address. Evidence: EndpointConnectionPoolTest.connectionsToAnEarlierProcessOfAnEndpointAreClosed fails without the call that heeds it; DiscoveredEndpointTableTest.aReadyEndpointSupersedesTheOneAtItsAddress asks for the second part. Change: on a later start, connections older than it are closed and their attempts end as RESET; a ready endpoint that is new at an address marks the other one there as gone, and the later start wins. It works because the other process is gone when one has started in its place. The fixture's endpoints have an address each now.

--- a/src/main/java/brooklock/platform/DiscoveredEndpointTable.java
+++ b/src/main/java/brooklock/platform/DiscoveredEndpointTable.java
@@ -8,9 +8,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongUnaryOperator;
 import java.util.zip.CRC32;
 
@@ -33,6 +35,7 @@
         private InetSocketAddress address;
         private Endpoint listing;
         private long startedAtMs;
+        private boolean superseded;
 
         private Entry(String name, long id) {
             this.name = name;
@@ -53,6 +56,14 @@
             return address;
         }
 
+        /**
+         * Returns when the endpoint's process started, in Unix milliseconds; 0 if it is not known
+         * to have started late.
+         */
+        long startedAtMs() {
+            return startedAtMs;
+        }
+
         /** Returns the endpoint as the router represents it, as of the last list update. */
         Endpoint listing() {
             return listing;
@@ -102,14 +113,20 @@
      * valid address, are ignored, unless the update states that an endpoint of the table has left
      * the list.
      *
+     * <p>A ready endpoint at the address of another one proves that the process of the other one is
+     * gone, even if the list does not say so yet: the other one is marked as gone, and stays so
+     * until it is listed with another address or start time. Otherwise requests for the one would
+     * be sent to the other.
+     *
      * @return the router's event for the update
      */
     EndpointListReceived apply(DiscoveryEvent.EndpointListUpdate update) {
         List<Endpoint> listings = new ArrayList<>();
-        List<String> listedNames = new ArrayList<>();
+        Set<String> listedNames = new HashSet<>();
+        List<Entry> startedProcesses = new ArrayList<>();
         for (DiscoveryEvent.Endpoint endpoint : update.endpoints()) {
             listedNames.add(endpoint.name());
-            Endpoint listing = updateEntry(endpoint);
+            Endpoint listing = updateEntry(endpoint, startedProcesses);
             if (listing != null) {
                 listings.add(listing);
             }
@@ -121,12 +138,36 @@
                 }
             }
         }
+        listings.addAll(supersede(startedProcesses, listedNames));
         return new EndpointListReceived(
                 update.snapshot() ? EndpointListKind.FULL : EndpointListKind.DELTA, listings);
     }
 
-    // Creates or updates the entry of an endpoint. Returns its listing, or null if it is ignored.
-    private Endpoint updateEntry(DiscoveryEvent.Endpoint endpoint) {
+    // Returns the listings of the entries whose process is gone because another one has started at
+    // its address. Of two processes the one with the later start time is there; endpoints that are
+    // listed in the same update are left as they are listed.
+    private List<Endpoint> supersede(List<Entry> startedProcesses, Set<String> listedNames) {
+        List<Endpoint> superseded = new ArrayList<>();
+        if (startedProcesses.isEmpty()) {
+            return superseded;
+        }
+        Map<InetSocketAddress, Entry> startedByAddress = new HashMap<>();
+        startedProcesses.forEach(entry -> startedByAddress.put(entry.address, entry));
+        for (Entry other : byName.values()) {
+            Entry started = startedByAddress.get(other.address);
+            if (started != null && !other.isGone() && !listedNames.contains(other.name)) {
+                Entry earlier = other.startedAtMs > started.startedAtMs ? started : other;
+                earlier.markGone();
+                earlier.superseded = true;
+                superseded.add(earlier.listing);
+            }
+        }
+        return superseded;
+    }
+
+    // Creates or updates the entry of an endpoint, and adds it to the list if it is ready and its
+    // process is not the one listed before. Returns its listing, or null if it is ignored.
+    private Endpoint updateEntry(DiscoveryEvent.Endpoint endpoint, List<Entry> startedProcesses) {
         EndpointState state = endpoint.state().orElse(null);
         Entry entry = byName.get(endpoint.name());
         int zone = zones.isEmpty() ? 0 : zones.indexOf(endpoint.zone());
@@ -145,6 +186,15 @@
             byName.put(entry.name, entry);
             byId.put(entry.id, entry);
         }
+        boolean sameProcess =
+                address.equals(entry.address) && entry.startedAtMs == endpoint.startedAtMs();
+        if (sameProcess && entry.superseded) {
+            return entry.listing;
+        }
+        entry.superseded = false;
+        if (!sameProcess && state == EndpointState.READY) {
+            startedProcesses.add(entry);
+        }
         long startedAtNs = startedAtNs(entry, endpoint.startedAtMs());
         entry.startedAtMs = endpoint.startedAtMs();
         entry.address = address;
--- a/src/main/java/brooklock/platform/EndpointConnection.java
+++ b/src/main/java/brooklock/platform/EndpointConnection.java
@@ -46,6 +46,7 @@
     // again: a late response to the cancelled attempt would be mistaken for the response to the new
     // one.
     private final Set<Long> cancelledIds = new HashSet<>();
+    private final long openedAtMs = System.currentTimeMillis();
     private long idleSinceNs;
 
     /**
@@ -71,6 +72,11 @@
         return identity;
     }
 
+    /** Returns when the connection was established, in Unix milliseconds. */
+    long openedAtMs() {
+        return openedAtMs;
+    }
+
     boolean isClosed() {
         return transport.isClosed();
     }
@@ -135,6 +141,11 @@
         pool.remove(this);
     }
 
+    /** Closes the connection because its process has been replaced by a later one. */
+    void closeForRestart() {
+        fail("a later process of the endpoint has started");
+    }
+
     @Override
     public boolean readAvailable() {
         return transport.readNow();
--- a/src/main/java/brooklock/platform/EndpointConnectionPool.java
+++ b/src/main/java/brooklock/platform/EndpointConnectionPool.java
@@ -41,6 +41,7 @@
     private final List<EndpointConnection> connections = new ArrayList<>();
     private final ArrayDeque<EndpointConnection> idleConnections = new ArrayDeque<>();
     private final ArrayDeque<EndpointAttempt> queue = new ArrayDeque<>();
+    private long processStartedAtMs;
     private boolean retired;
 
     /**
@@ -48,6 +49,8 @@
      *
      * @param endpointName the name of the endpoint, for the log
      * @param address the address of the endpoint
+     * @param processStartedAtMs when the endpoint's process started, in Unix milliseconds; 0 if it
+     *     is not known to have started late
      * @param settings the settings of the connections to endpoints
      * @param budget decides whether one more connection may be opened
      * @param partialResponses bounds the memory of the partially received responses of all
@@ -57,12 +60,14 @@
     EndpointConnectionPool(
             String endpointName,
             InetSocketAddress address,
+            long processStartedAtMs,
             ConnectionSettings settings,
             ConnectionBudget budget,
             PartialMessageMemory partialResponses,
             AttemptHandler attemptHandler) {
         this.endpointName = endpointName;
         this.address = address;
+        this.processStartedAtMs = processStartedAtMs;
         maxInFlight = settings.maxInFlight();
         this.budget = budget;
         this.partialResponses = partialResponses;
@@ -257,6 +262,27 @@
         }
     }
 
+    /**
+     * Closes the connections to earlier processes of the endpoint. These are gone although the
+     * connections may give no sign of it; attempts in flight on them end as {@link
+     * AttemptOutcome#RESET}. Connections that are more recent than the process are connections to
+     * it and stay open.
+     *
+     * @param startedAtMs when the present process started, in Unix milliseconds; 0 if it is not
+     *     known to have started late
+     */
+    void onProcessStarted(long startedAtMs) {
+        if (startedAtMs <= processStartedAtMs) {
+            return;
+        }
+        processStartedAtMs = startedAtMs;
+        for (EndpointConnection connection : List.copyOf(connections)) {
+            if (connection.openedAtMs() < startedAtMs) {
+                connection.closeForRestart();
+            }
+        }
+    }
+
     /** Returns whether the pool connects to the specified address. */
     boolean hasAddress(InetSocketAddress candidate) {
         return address.equals(candidate);
--- a/src/main/java/brooklock/platform/EndpointConnectionPools.java
+++ b/src/main/java/brooklock/platform/EndpointConnectionPools.java
@@ -42,6 +42,7 @@
                     new EndpointConnectionPool(
                             endpoint.name(),
                             endpoint.address(),
+                            endpoint.startedAtMs(),
                             settings,
                             this,
                             partialResponses,
@@ -61,13 +62,18 @@
         return List.copyOf(poolsById.values());
     }
 
-    /** Retires the pools of endpoints that have left the list or whose address has changed. */
+    /**
+     * Retires the pools of endpoints that have left the list or whose address has changed, and
+     * closes the connections to processes that have been replaced by a later one.
+     */
     void retireOutdated() {
         for (DiscoveredEndpointTable.Entry entry : table.all()) {
             EndpointConnectionPool pool = poolsById.get(entry.id());
             if (pool != null && (entry.isGone() || !pool.hasAddress(entry.address()))) {
                 poolsById.remove(entry.id());
                 pool.retire();
+            } else if (pool != null) {
+                pool.onProcessStarted(entry.startedAtMs());
             }
         }
     }
--- a/src/test/java/brooklock/platform/DiscoveredEndpointTableTest.java
+++ b/src/test/java/brooklock/platform/DiscoveredEndpointTableTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import brooklock.routing.Endpoint;
 import brooklock.routing.EndpointListKind;
 import brooklock.routing.EndpointState;
 import brooklock.routing.RouterEvent.EndpointListReceived;
@@ -58,6 +59,34 @@
         assertNotEquals(100, restarted.endpoints().get(0).startedAtNs());
     }
 
+    /**
+     * Guards against a new process that is taken for the one that had its address: requests for the
+     * old endpoint were sent to the new one until the list said that the old one had left.
+     */
+    @Test
+    void aReadyEndpointSupersedesTheOneAtItsAddress() {
+        DiscoveryEvent.Endpoint old = endpoint("s-a", "127.0.0.1:1", "west", 0);
+        long oldId = apply(table, true, old).endpoints().get(0).id();
+        EndpointListReceived started =
+                apply(table, false, endpoint("s-b", "127.0.0.1:1", "west", 5000));
+        assertEquals(2, started.endpoints().size());
+        assertEquals(EndpointState.READY, started.endpoints().get(0).state());
+        assertEquals(oldId, started.endpoints().get(1).id());
+        assertEquals(EndpointState.GONE, started.endpoints().get(1).state());
+        assertTrue(table.get(oldId).isGone());
+        assertEquals(EndpointState.GONE, apply(table, false, old).endpoints().get(0).state());
+        table.removeGone();
+        List<EndpointState> late =
+                apply(table, false, old).endpoints().stream().map(Endpoint::state).toList();
+        assertEquals(EndpointState.GONE, late.get(late.size() - 1), "the later start wins");
+        assertEquals(
+                EndpointState.READY,
+                apply(table, false, endpoint("s-a", "127.0.0.1:3", "west", 0))
+                        .endpoints()
+                        .get(0)
+                        .state());
+    }
+
     /**
      * An endpoint that leaves may be listed without its address, zone and kind; it must be removed.
      */
--- a/src/test/java/brooklock/platform/DispatcherFixture.java
+++ b/src/test/java/brooklock/platform/DispatcherFixture.java
@@ -209,11 +209,20 @@
 
     /** Applies a list update in which all specified endpoints have the same state. */
     void updateList(EndpointState state, String... names) throws Exception {
+        updateList(state, 0, names);
+    }
+
+    /**
+     * Applies a list update in which all specified endpoints have the same state and start time.
+     * Each has an address of its own.
+     */
+    void updateList(EndpointState state, long startedAtMs, String... names) throws Exception {
         List<DiscoveryEvent.Endpoint> entries = new ArrayList<>();
         for (String name : names) {
+            String address = "127.0.0.1:" + (1 + endpointId(name) % 65_535);
             entries.add(
                     new DiscoveryEvent.Endpoint(
-                            name, "127.0.0.1:7", "west", "box", Optional.of(state), 1, 0));
+                            name, address, "west", "box", Optional.of(state), 1, startedAtMs));
         }
         onIoThread(
                 () -> {
--- a/src/test/java/brooklock/platform/EndpointConnectionPoolTest.java
+++ b/src/test/java/brooklock/platform/EndpointConnectionPoolTest.java
@@ -56,6 +56,35 @@
         return fixture.nextConnectRequest();
     }
 
+    /**
+     * Guards against work that is sent to a process that is gone: the list says that the endpoint
+     * has restarted, and an open connection to its earlier process gives no sign of that. Attempts
+     * in flight on it must end, and later ones must use a new connection.
+     */
+    @Test
+    void connectionsToAnEarlierProcessOfAnEndpointAreClosed() throws Exception {
+        start(64, DispatcherFixture.rejectingUnlessServedBy("a"));
+        DispatcherFixture.EndpointPeer idle = fixture.connect(sendFirst(0x71));
+        idle.nextFrame();
+        idle.respond(Frame.OK, 0x71, "rev=1");
+        assertNull(client.response().error());
+        send(2, 0x72, 0x7f);
+        assertEquals(0x72, idle.nextFrame().id());
+        send(3, 0x73, 0x7f);
+        DispatcherFixture.EndpointPeer busy = fixture.connect(fixture.nextConnectRequest());
+        assertEquals(0x73, busy.nextFrame().id());
+        idle.respond(Frame.OK, 0x72, "rev=1");
+        assertNull(client.response().error());
+        fixture.updateList(EndpointState.READY, System.currentTimeMillis() + 1, "a");
+        RpcTestClient.Response response = client.response();
+        assertEquals(3, response.messageId());
+        assertEquals("Overloaded", response.error());
+        send(4, 0x74, 0x7f);
+        DispatcherFixture.EndpointPeer restarted = fixture.connect(fixture.nextConnectRequest());
+        assertEquals(0x74, restarted.nextFrame().id());
+        assertTrue(idle.frames.isEmpty());
+    }
+
     /**
      * An endpoint responds twice to the first attempt of a request, and the second attempt goes to
      * the same endpoint with the same id. It must use another connection, or the duplicate response
