Count the window of an idempotency key from its first request

Cause: RetryPolicy counted the window from the first attempt of the try; the key did not reach the router. Change: IdempotencyKeyLog keeps the keys that were sent and may have been executed, with their time; the router gets such a request as KeyedRetryReceived and counts the window from the earlier time. It works because the window is the key's, as endpoints count it.

--- a/src/main/java/brooklock/platform/ClientRequest.java
+++ b/src/main/java/brooklock/platform/ClientRequest.java
@@ -5,7 +5,7 @@
  * modified.
  *
  * @param id the id of the request; a retry by the client has a new id
- * @param classIndex the router's index of the request class
+ * @param rules the rules of the request class
  * @param className the name of the request class
  * @param objectHex the id of the object, 16 hexadecimal digits
  * @param part the index of the object's part, from 0
@@ -13,7 +13,6 @@
  * @param sizeKb the size of the part, KB; 0 if unknown
  * @param timeoutMs the time for which the client waits for the response, ms
  * @param clientRetry whether the client marked the request as a retry
- * @param idempotent whether the request may be executed more than once
  * @param idempotencyKey the idempotency key; null if the class does not require one
  * @param etag the entity tag of the client's copy; null if the client has none
  * @param body the body that the request writes; empty if it has none
@@ -21,7 +20,7 @@
 @SuppressWarnings("ArrayRecordComponent") // Never compared; not copied, to save memory.
 record ClientRequest(
         long id,
-        int classIndex,
+        RequestClassRules rules,
         String className,
         String objectHex,
         int part,
@@ -29,7 +28,6 @@
         double sizeKb,
         int timeoutMs,
         boolean clientRetry,
-        boolean idempotent,
         String idempotencyKey,
         String etag,
         byte[] body) {
--- a/src/main/java/brooklock/platform/ClientRequestParser.java
+++ b/src/main/java/brooklock/platform/ClientRequestParser.java
@@ -86,7 +86,7 @@
         }
         return new ClientRequest(
                 id,
-                requestClass.index(),
+                requestClass,
                 call.method(),
                 objectHex,
                 integerField(fields, PART, 0, 0, MAX_PART),
@@ -94,7 +94,6 @@
                 parseSizeKb(fields.get(SIZE)),
                 timeoutMs,
                 clientRetry,
-                requestClass.idempotent(),
                 idempotencyKey,
                 etag,
                 call.body());
--- a/src/main/java/brooklock/platform/PendingClientRequest.java
+++ b/src/main/java/brooklock/platform/PendingClientRequest.java
@@ -1,5 +1,6 @@
 package brooklock.platform;
 
+import brooklock.routing.AttemptOutcome;
 import brooklock.routing.RouterAction.StartAttempt;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,6 +23,8 @@
     private final List<EndpointAttempt> attempts = new ArrayList<>(2);
     private final List<EndpointConnection.Identity> usedConnections = new ArrayList<>(1);
     private boolean completed;
+    private boolean mayHaveExecuted;
+    private long keySentAtNs = IdempotencyKeyLog.NEVER;
     private int openAttempts;
 
     /**
@@ -92,8 +95,29 @@
     }
 
     /** Called when one of the request's attempts has ended. */
-    void onAttemptEnded() {
+    void onAttemptEnded(AttemptOutcome outcome) {
         openAttempts--;
+        mayHaveExecuted |= !outcome.provesNotExecuted;
+    }
+
+    /** Returns whether an attempt that has ended may have been executed. */
+    boolean mayHaveExecuted() {
+        return mayHaveExecuted;
+    }
+
+    /** Records that the idempotency key is sent with an attempt; the first time counts. */
+    void onKeySent(long sentAtNs) {
+        if (keySentAtNs == IdempotencyKeyLog.NEVER) {
+            keySentAtNs = sentAtNs;
+        }
+    }
+
+    /**
+     * Returns when the idempotency key was first sent with this request, on the router's clock, ns;
+     * {@link IdempotencyKeyLog#NEVER} if it was not.
+     */
+    long keySentAtNs() {
+        return keySentAtNs;
     }
 
     /** Records that an attempt is sent on a connection. */
--- a/src/main/java/brooklock/platform/PlatformConfigReader.java
+++ b/src/main/java/brooklock/platform/PlatformConfigReader.java
@@ -119,6 +119,7 @@
                             i,
                             settings.idempotency() == Idempotency.IDEMPOTENCY_KEY,
                             settings.idempotency() == Idempotency.IDEMPOTENT,
+                            settings.idempotencyWindowNs(),
                             settings.passThrough(),
                             (long) Math.ceil(maxTimeoutNs / NS_PER_MS)));
         }
--- a/src/main/java/brooklock/platform/RequestClassRules.java
+++ b/src/main/java/brooklock/platform/RequestClassRules.java
@@ -6,6 +6,7 @@
  * @param index the router's index of the class
  * @param requiresIdempotencyKey whether each request must have an idempotency key
  * @param idempotent whether a request may be executed more than once
+ * @param idempotencyWindowNs how long endpoints remember an idempotency key, ns
  * @param acceptsBody whether requests may have a body
  * @param maxTimeoutMs the longest time for which a client may wait for a response, ms
  */
@@ -13,5 +14,6 @@
         int index,
         boolean requiresIdempotencyKey,
         boolean idempotent,
+        long idempotencyWindowNs,
         boolean acceptsBody,
         long maxTimeoutMs) {}
--- a/src/main/java/brooklock/platform/RequestExecutor.java
+++ b/src/main/java/brooklock/platform/RequestExecutor.java
@@ -34,6 +34,7 @@
     private final AttemptTransport transport;
     // The ids of the requests that have been sent to an endpoint and may not be executed twice.
     private final RecentIdSet sentIds = new RecentIdSet(REMEMBERED_IDS);
+    private final IdempotencyKeyLog sentKeys = new IdempotencyKeyLog();
     private final ArrayDeque<RouterEvent> queuedEvents = new ArrayDeque<>();
     private final List<RouterAction> actions = new ArrayList<>();
     private boolean processingEvents;
@@ -88,7 +89,7 @@
      */
     boolean isIdInUse(ClientRequest clientRequest) {
         return requests.isOpen(clientRequest.id())
-                || (!clientRequest.idempotent() && sentIds.contains(clientRequest.id()));
+                || (!clientRequest.rules().idempotent() && sentIds.contains(clientRequest.id()));
     }
 
     /** Returns whether the request can be accepted; otherwise the caller must reject it. */
@@ -117,25 +118,56 @@
      */
     void route(PendingClientRequest request) {
         ClientRequest clientRequest = request.clientRequest();
-        submit(
+        RouterEvent.RequestReceived received =
                 new RouterEvent.RequestReceived(
                         request.routingId(),
-                        clientRequest.classIndex(),
+                        clientRequest.rules().index(),
                         clientRequest.objectId(),
                         clientRequest.part(),
                         clientRequest.group(),
                         clientRequest.sizeKb(),
                         clientRequest.clientRetry(),
-                        request.deadlineNs()));
+                        request.deadlineNs());
+        long keySentAtNs = keyFirstSentAtNs(clientRequest);
+        submit(
+                keySentAtNs == IdempotencyKeyLog.NEVER
+                        ? received
+                        : new RouterEvent.KeyedRetryReceived(received, keySentAtNs));
+    }
+
+    private long keyFirstSentAtNs(ClientRequest clientRequest) {
+        return clientRequest.idempotencyKey() == null
+                ? IdempotencyKeyLog.NEVER
+                : sentKeys.firstSentAtNs(
+                        clientRequest.idempotencyKey(),
+                        clientRequest.rules().idempotencyWindowNs(),
+                        clock.nowNs());
     }
 
     /** Called when the request frame of an attempt is about to be written. */
     void onAttemptStarted(EndpointAttempt attempt) {
         attempt.setStartedAtNs(clock.nowNs());
         ClientRequest clientRequest = attempt.clientRequest();
-        if (!clientRequest.idempotent()) {
+        if (!clientRequest.rules().idempotent()) {
             sentIds.add(clientRequest.id());
         }
+        if (clientRequest.idempotencyKey() != null) {
+            // The window begins with the decision, as in the router: endpoints get the attempt
+            // later.
+            sentKeys.record(clientRequest.idempotencyKey(), attempt.decidedAtNs());
+            attempt.request().onKeySent(attempt.decidedAtNs());
+        }
+    }
+
+    // An attempt that is proved not to have been executed leaves no key behind. Otherwise the
+    // window
+    // of a request that was rejected by an overloaded endpoint would shorten that of its retry.
+    private void forgetKeyIfNotExecuted(PendingClientRequest request) {
+        if (request.isFinished()
+                && !request.mayHaveExecuted()
+                && request.keySentAtNs() != IdempotencyKeyLog.NEVER) {
+            sentKeys.forget(request.clientRequest().idempotencyKey(), request.keySentAtNs());
+        }
     }
 
     /** Completes a request whose client has disconnected or cancelled it. No response is sent. */
@@ -158,7 +190,7 @@
         }
         attempt.end();
         PendingClientRequest request = attempt.request();
-        request.onAttemptEnded();
+        request.onAttemptEnded(result.outcome());
         stats.recordAttemptEnded(result.outcome());
         if (result.outcome() == AttemptOutcome.OK && !request.isCompleted()) {
             requests.complete(request);
@@ -176,6 +208,7 @@
                         result.fillDurationNs(),
                         request.isCompleted()));
         requests.removeIfFinished(request);
+        forgetKeyIfNotExecuted(request);
     }
 
     /**
@@ -209,6 +242,8 @@
             actions.clear();
             if (event instanceof RouterEvent.RequestReceived received) {
                 actions.add(new RouterAction.FailRequest(received.id()));
+            } else if (event instanceof RouterEvent.KeyedRetryReceived retry) {
+                actions.add(new RouterAction.FailRequest(retry.request().id()));
             }
         }
         executeActions();
--- a/src/main/java/brooklock/routing/PendingRequest.java
+++ b/src/main/java/brooklock/routing/PendingRequest.java
@@ -54,12 +54,16 @@
     int openAttempts;
 
     /**
-     * The time at which the router started the first attempt, in nanoseconds. The attempt may be
-     * sent later. The window of the idempotency key is counted from this time; the endpoints
-     * receive the attempt later, so the window ends no later here than there.
+     * The time at which the router started the first attempt, in nanoseconds, or that of an earlier
+     * request with the same idempotency key. The attempt may be sent later. The window of the
+     * idempotency key is counted from this time; the endpoints receive the attempt later, so the
+     * window ends no later here than there.
      */
     long firstAttemptAtNs;
 
+    /** Whether an earlier request with the same idempotency key may have been executed. */
+    boolean keySentBefore;
+
     /** Whether the request has had its final response or its client has disconnected. */
     boolean finished;
 
@@ -75,6 +79,13 @@
      */
     boolean parentMissed;
 
+    /** Records that an earlier request with the same idempotency key may have been executed. */
+    void onKeySentBefore(long sentAtNs) {
+        keySentBefore = true;
+        mayHaveExecuted = true;
+        firstAttemptAtNs = sentAtNs;
+    }
+
     PendingRequest(
             RequestReceived event,
             RequestClass requestClass,
--- a/src/main/java/brooklock/routing/Router.java
+++ b/src/main/java/brooklock/routing/Router.java
@@ -10,6 +10,7 @@
 import brooklock.routing.RouterEvent.AttemptCompleted;
 import brooklock.routing.RouterEvent.ClientDisconnected;
 import brooklock.routing.RouterEvent.EndpointListReceived;
+import brooklock.routing.RouterEvent.KeyedRetryReceived;
 import brooklock.routing.RouterEvent.PurgeReceived;
 import brooklock.routing.RouterEvent.RequestReceived;
 import brooklock.routing.RouterEvent.ResponseStarted;
@@ -86,7 +87,11 @@
         beginEvent(now, actions);
         hotList.advanceTo(now);
         if (event instanceof RequestReceived e) {
-            onRequest(e);
+            onRequest(accept(e));
+        } else if (event instanceof KeyedRetryReceived e) {
+            PendingRequest request = accept(e.request());
+            request.onKeySentBefore(e.keyFirstSentAtNs());
+            onRequest(request);
         } else if (event instanceof AttemptCompleted e) {
             onAttemptCompleted(e);
         } else if (event instanceof TimerFired e) {
@@ -118,9 +123,8 @@
 
     // ---- Requests
 
-    private void onRequest(RequestReceived event) {
-        PendingRequest request = accept(event);
-        requests.put(event.id(), request);
+    private void onRequest(PendingRequest request) {
+        requests.put(request.id(), request);
         workEstimator.onAccepted(request);
         retryBudget.onRequest();
         timers.set(request.finalResponseAtNs, request, Purpose.FINAL_RESPONSE, now, actions);
@@ -183,7 +187,7 @@
     private void send(PendingRequest request, Attempt attempt) {
         RoutedEndpoint endpoint = attempt.endpoint;
         RoutedEndpoint fillSource = attempt.fillSource;
-        if (request.attempts.isEmpty()) {
+        if (request.attempts.isEmpty() && !request.keySentBefore) {
             request.firstAttemptAtNs = now;
         }
         request.attempts.add(attempt);
--- a/src/main/java/brooklock/routing/RouterEvent.java
+++ b/src/main/java/brooklock/routing/RouterEvent.java
@@ -37,6 +37,17 @@
             long deadlineNs)
             implements RouterEvent {}
 
+    /**
+     * A client has sent a request with an idempotency key that was sent to an endpoint with an
+     * earlier request, which may have been executed. The window of the key is that of the earlier
+     * request.
+     *
+     * @param request the request
+     * @param keyFirstSentAtNs when the key was first sent, on the router's clock; greater than 0
+     */
+    record KeyedRetryReceived(RequestReceived request, long keyFirstSentAtNs)
+            implements RouterEvent {}
+
     /**
      * The client has disconnected.
      *
--- a/src/test/java/brooklock/platform/ClientRequestParserTest.java
+++ b/src/test/java/brooklock/platform/ClientRequestParserTest.java
@@ -19,9 +19,9 @@
     private static final Map<String, RequestClassRules> CLASSES =
             Map.of(
                     "pages",
-                    new RequestClassRules(0, false, true, false, 2500),
+                    new RequestClassRules(0, false, true, 5_000_000_000L, false, 2500),
                     "orders",
-                    new RequestClassRules(1, true, false, true, 3000));
+                    new RequestClassRules(1, true, false, 5_000_000_000L, true, 3000));
 
     private static Map<String, String> validFields() {
         return new HashMap<>(
--- a/src/test/java/brooklock/platform/DispatcherFixture.java
+++ b/src/test/java/brooklock/platform/DispatcherFixture.java
@@ -262,6 +262,8 @@
         return (event, actions) -> {
             if (event instanceof RouterEvent.RequestReceived received) {
                 actions.add(startAttemptAction(received.id(), endpoint, 2000, 2000));
+            } else if (event instanceof RouterEvent.KeyedRetryReceived retry) {
+                actions.add(startAttemptAction(retry.request().id(), endpoint, 2000, 2000));
             } else if (event instanceof RouterEvent.AttemptCompleted completed
                     && completed.outcome() != AttemptOutcome.OK) {
                 actions.add(new RouterAction.RejectRequest(completed.id(), 0));
--- a/src/test/java/brooklock/platform/PlatformConfigReaderTest.java
+++ b/src/test/java/brooklock/platform/PlatformConfigReaderTest.java
@@ -28,9 +28,9 @@
         assertEquals(
                 Map.of(
                         "pages",
-                        new RequestClassRules(0, false, true, false, 2500),
+                        new RequestClassRules(0, false, true, 0, false, 2500),
                         "orders",
-                        new RequestClassRules(1, true, false, true, 3000)),
+                        new RequestClassRules(1, true, false, 3_000_000_000L, true, 3000)),
                 config.requestClasses());
     }
 
--- a/src/test/java/brooklock/platform/RequestMemoryTest.java
+++ b/src/test/java/brooklock/platform/RequestMemoryTest.java
@@ -53,7 +53,7 @@
         ClientRequest clientRequest =
                 new ClientRequest(
                         0x51,
-                        0,
+                        TestConfigs.READ_RULES,
                         TestConfigs.READ_CLASS,
                         "000000000000007f",
                         0,
@@ -61,7 +61,6 @@
                         20,
                         HOUR_MS,
                         false,
-                        true,
                         null,
                         null,
                         new byte[0]);
--- a/src/test/java/brooklock/platform/ResponseFrameDecoderTest.java
+++ b/src/test/java/brooklock/platform/ResponseFrameDecoderTest.java
@@ -20,7 +20,7 @@
     private static ClientRequest request(String etag) {
         return new ClientRequest(
                 1,
-                0,
+                TestConfigs.READ_RULES,
                 "pages",
                 "000000000000007f",
                 0,
@@ -28,7 +28,6 @@
                 0,
                 1000,
                 false,
-                true,
                 null,
                 etag,
                 new byte[0]);
--- a/src/test/java/brooklock/platform/TestConfigs.java
+++ b/src/test/java/brooklock/platform/TestConfigs.java
@@ -9,6 +9,8 @@
 final class TestConfigs {
     static final String READ_CLASS = "pages";
     static final String WRITE_CLASS = "orders";
+    static final RequestClassRules READ_RULES =
+            new RequestClassRules(0, false, true, 5_000_000_000L, false, 2500);
 
     private TestConfigs() {}
 
--- a/src/test/java/brooklock/routing/RetryPolicyTest.java
+++ b/src/test/java/brooklock/routing/RetryPolicyTest.java
@@ -15,6 +15,7 @@
 import brooklock.routing.RouterAction.FailRequest;
 import brooklock.routing.RouterAction.RejectRequest;
 import brooklock.routing.RouterAction.StartAttempt;
+import brooklock.routing.RouterEvent.KeyedRetryReceived;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -76,6 +77,33 @@
                 "all endpoints share the key: a rejection is allowed");
     }
 
+    /**
+     * Guards against a window that begins anew with a client's retry: the retry comes 360 ms after
+     * a request with the same key that may have been executed. It must not be repeated after the
+     * window of that request, whatever its own attempts prove.
+     */
+    @Test
+    void aRetryOfAClientSharesTheWindowOfTheFirstRequest() {
+        RouterFixture fixture = new RouterFixture().withEndpoints();
+        long firstSentAtNs = fixture.now;
+        fixture.now += 360 * MS;
+        StartAttempt retry =
+                firstAttempt(
+                        fixture.onEvent(
+                                new KeyedRetryReceived(
+                                        fixture.newRequest(KEYED, 42), firstSentAtNs)));
+        assertEquals(1640 * MS, retry.startWithinNs(), "the rest of the window");
+        fixture.now += 100 * MS;
+        StartAttempt repeat =
+                firstAttempt(fixture.complete(retry, AttemptOutcome.RESET, CacheStatus.NONE, 100));
+        assertEquals(1540 * MS, repeat.startWithinNs());
+        fixture.now += 1600 * MS;
+        assertNull(
+                firstAttempt(
+                        fixture.complete(
+                                repeat, AttemptOutcome.OVERLOADED, CacheStatus.NONE, 1600)));
+    }
+
     /**
      * Only the endpoints of a cell share keys. A retry by the client may reach another cell and be
      * executed again, so the request must not be rejected.
