Ask discovery again within half of the grace that the settings grant

Cause: the delay between connections grew to 500 ms, times a jitter of up to 1.6, whatever grace the settings grant (there 250 ms). Evidence: the requests in question were sent up to 688 ms after the purge was told, within the longest delay. Change: ReconnectBackoff, taken out of DiscoveryClient, bounds the delay by half of the shorter grace. It works because the service is asked again in time whatever the jitter.

--- a/src/main/java/brooklock/platform/DiscoveryClient.java
+++ b/src/main/java/brooklock/platform/DiscoveryClient.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -31,24 +30,15 @@
     // that a service which is slower than that is heard, too, until a line is received.
     private static final long INITIAL_PATIENCE_NS = 8_000_000_000L;
     private static final long MAX_PATIENCE_NS = 64_000_000_000L;
-    // Backoff before reconnecting, ns; it doubles with each reconnect until an event is received.
-    private static final long INITIAL_BACKOFF_NS = 100_000_000L;
-    private static final long MAX_BACKOFF_NS = 500_000_000L;
-    // Bounds of the random factor by which each backoff is multiplied. A failure of the service
-    // disconnects all dispatchers at once; without jitter they would all reconnect at the same
-    // time.
-    private static final double MIN_JITTER = 0.2;
-    private static final double MAX_JITTER = 1.6;
 
     private final IoLoop loop;
     private final Consumer<DiscoveryEvent> eventListener;
-    private final SplittableRandom random;
+    private final ReconnectBackoff backoff;
     // The open connections, the oldest first.
     private final List<DiscoveryConnection> connections = new ArrayList<>(MAX_CONNECTIONS);
     private InetSocketAddress address;
     private long lastSequence;
     private long patienceNs = INITIAL_PATIENCE_NS;
-    private long backoffNs = INITIAL_BACKOFF_NS;
     // Incremented by each connect, each scheduled reconnect and each line. A scheduled reconnect
     // whose generation is no longer current does nothing.
     private int connectGeneration;
@@ -59,19 +49,19 @@
      * @param loop the I/O thread that owns the client
      * @param address the address of the discovery service
      * @param lastSequence the sequence number of the last event that is already known
-     * @param seed the seed of the backoff's jitter
+     * @param backoff the delays between connections
      * @param eventListener called with each event, on the I/O thread
      */
     DiscoveryClient(
             IoLoop loop,
             InetSocketAddress address,
             long lastSequence,
-            long seed,
+            ReconnectBackoff backoff,
             Consumer<DiscoveryEvent> eventListener) {
         this.loop = loop;
         this.address = address;
         this.lastSequence = lastSequence;
-        random = new SplittableRandom(seed);
+        this.backoff = backoff;
         this.eventListener = eventListener;
     }
 
@@ -83,7 +73,7 @@
         if (!newAddress.equals(address)) {
             address = newAddress;
             patienceNs = INITIAL_PATIENCE_NS;
-            backoffNs = INITIAL_BACKOFF_NS;
+            backoff.reset();
             connections.forEach(DiscoveryConnection::close);
             connections.clear();
             scheduleConnect();
@@ -105,13 +95,12 @@
     private void scheduleConnect() {
         int generation = ++connectGeneration;
         loop.schedule(
-                (long) (backoffNs * random.nextDouble(MIN_JITTER, MAX_JITTER)),
+                backoff.nextDelayNs(),
                 () -> {
                     if (generation == connectGeneration) {
                         connect();
                     }
                 });
-        backoffNs = Math.min(MAX_BACKOFF_NS, backoffNs * 2);
     }
 
     @Override
@@ -152,7 +141,7 @@
     private void keepOnly(DiscoveryConnection heard) {
         connectGeneration++;
         patienceNs = INITIAL_PATIENCE_NS;
-        backoffNs = INITIAL_BACKOFF_NS;
+        backoff.reset();
         if (connections.size() > 1) {
             connections.stream()
                     .filter(connection -> connection != heard)
--- a/src/main/java/brooklock/platform/PlatformConfig.java
+++ b/src/main/java/brooklock/platform/PlatformConfig.java
@@ -13,6 +13,7 @@
  * @param discoveryAddress the address of the discovery service, which sends endpoint lists and
  *     purges
  * @param seed the seed of the jitter in the backoff of {@link DiscoveryClient}
+ * @param discoveryGraceNs the shortest time within which a discovery event must take effect, ns
  * @param maxDescriptors maximum number of open file descriptors
  * @param lastSequence the sequence number of the last initial event
  * @param initialEvents the discovery events that precede the start, in order
@@ -29,6 +30,7 @@
         InetSocketAddress listenAddress,
         InetSocketAddress discoveryAddress,
         long seed,
+        long discoveryGraceNs,
         int maxDescriptors,
         long lastSequence,
         List<DiscoveryEvent> initialEvents,
--- a/src/main/java/brooklock/platform/PlatformConfigReader.java
+++ b/src/main/java/brooklock/platform/PlatformConfigReader.java
@@ -25,6 +25,7 @@
     // Minimum number of file descriptors that the platform guarantees; used if the configuration
     // states no maximum.
     private static final int DEFAULT_MAX_DESCRIPTORS = 256;
+    private static final long DEFAULT_DISCOVERY_GRACE_NS = 2_000_000_000L;
     private static final double NS_PER_MS = 1e6;
 
     private PlatformConfigReader() {}
@@ -71,6 +72,7 @@
                 address(root, "listen"),
                 address(root, "channel"),
                 root.has("seed") ? text(root, "seed").hashCode() : 0,
+                discoveryGraceNs(settings),
                 maxDescriptors(root),
                 required(known, "cursor").getAsLong(),
                 List.copyOf(events),
@@ -106,6 +108,19 @@
                 : DEFAULT_MAX_DESCRIPTORS;
     }
 
+    // The graces after a purge and after an endpoint has begun to drain; each may be absent.
+    private static long discoveryGraceNs(JsonObject settings) {
+        return Math.min(
+                optionalNs(settings.getAsJsonObject("extra"), "purgeGraceNs"),
+                optionalNs(settings.getAsJsonObject("invariants"), "stopSendingWithinNs"));
+    }
+
+    private static long optionalNs(JsonObject object, String key) {
+        return object != null && object.has(key)
+                ? object.get(key).getAsLong()
+                : DEFAULT_DISCOVERY_GRACE_NS;
+    }
+
     private static Map<String, RequestClassRules> requestClasses(
             JsonArray lanes, RouterSettings routerSettings) throws InvalidConfigurationException {
         Map<String, RequestClassRules> classes = new HashMap<>();
--- a/src/main/java/brooklock/platform/PlatformDispatcher.java
+++ b/src/main/java/brooklock/platform/PlatformDispatcher.java
@@ -86,7 +86,7 @@
                         loop,
                         config.discoveryAddress(),
                         config.lastSequence(),
-                        config.seed(),
+                        new ReconnectBackoff(config.seed(), config.discoveryGraceNs()),
                         this::onDiscoveryEvent);
         loop.execute(() -> startOnIoThread(config));
         listeningSocket = clientListener.open(threads, config.listenAddress());
