Give the router a new list before the attempts that it concerns end

Cause: EndpointConnector.onListUpdate retired pools before the router had the event, so the attempts that waited there were decided again by the old list and booked as decided by the new one. Evidence: QueuedAttemptTest.theRouterHasTheListBeforeAnAttemptAtAGoneEndpointEnds failed before. Change: the list is submitted first. It works because the router decides by the event that ended the attempt.

--- a/src/main/java/brooklock/platform/EndpointConnector.java
+++ b/src/main/java/brooklock/platform/EndpointConnector.java
@@ -60,13 +60,14 @@
     }
 
     /**
-     * Applies an update of the endpoint list, submits it to the router, and then returns to the
-     * router the queued attempts whose list entries have changed.
+     * Applies an update of the endpoint list, submits it to the router, and then ends or returns to
+     * the router the attempts that the update concerns. The router must have the update first:
+     * otherwise it would decide again by the old list.
      */
     void onListUpdate(DiscoveryEvent.EndpointListUpdate update) {
         EndpointListReceived list = table.apply(update);
-        pools.retireOutdated();
         executor.submit(list);
+        pools.retireOutdated();
         returnQueuedToRouter(attempt -> !isCurrent(attempt));
     }
 
--- a/src/test/java/brooklock/platform/QueuedAttemptTest.java
+++ b/src/test/java/brooklock/platform/QueuedAttemptTest.java
@@ -11,6 +11,7 @@
 import brooklock.routing.RouterAction.SetTimer;
 import brooklock.routing.RouterEvent;
 import brooklock.routing.RouterEvent.AttemptCompleted;
+import brooklock.routing.RouterEvent.EndpointListReceived;
 import brooklock.routing.RouterEvent.RequestReceived;
 import brooklock.routing.RouterEvent.TimerFired;
 import java.util.List;
@@ -221,4 +222,23 @@
         long durationNs = fixture.nextEvent(AttemptCompleted.class).durationNs();
         assertTrue(durationNs <= System.nanoTime() - connectNs);
     }
+
+    /**
+     * Guards against a retry that names an endpoint which drains: the attempt waits for a
+     * connection to an endpoint that leaves the list, and the same update bars others. The router
+     * must have the update before it learns that the attempt has ended.
+     */
+    @Test
+    void theRouterHasTheListBeforeAnAttemptAtAGoneEndpointEnds() throws Exception {
+        startAndSendRequest(0x3a);
+        fixture.updateList(EndpointState.GONE, "a");
+        fixture.nextEvent(AttemptCompleted.class);
+        int lastList = -1;
+        int completed = -1;
+        for (int i = 0; i < fixture.allEvents.size(); i++) {
+            lastList = fixture.allEvents.get(i) instanceof EndpointListReceived ? i : lastList;
+            completed = fixture.allEvents.get(i) instanceof AttemptCompleted ? i : completed;
+        }
+        assertTrue(lastList < completed, fixture.allEvents.toString());
+    }
 }
