--- a/src/main/java/brooklock/net/Connection.java
+++ b/src/main/java/brooklock/net/Connection.java
@@ -97,7 +97,7 @@
     final void continueReadingInNextTurn() {
         // The socket stays ready while it has input, but not for a TLS record that was read from it
         // without having been decrypted.
-        if (tls) {
+        if (tls && !closed) {
             source.wakeupReads();
         }
     }
--- a/src/main/java/brooklock/net/HttpServerConnection.java
+++ b/src/main/java/brooklock/net/HttpServerConnection.java
@@ -76,11 +76,7 @@
     }
 
     private void readAvailable() throws IOException, HttpProtocolException {
-        for (int reads = 0; !closed; reads++) {
-            if (reads == MAX_READS_PER_TURN) {
-                continueReadingInNextTurn();
-                return;
-            }
+        for (int reads = 0; !closed && reads < MAX_READS_PER_TURN; reads++) {
             int bytesRead = readInput();
             if (closed) {
                 // A read that reaches the end of input may close the connection.
@@ -109,12 +105,11 @@
                 source.suspendReads();
                 return;
             }
-            // The socket stays ready while it has input, but not for a TLS record that was read
-            // from it without having been decrypted.
             if (bytesRead == 0 || (!bufferFull && !tls)) {
                 return;
             }
         }
+        continueReadingInNextTurn();
     }
 
     private void discard(int bytesRead) {
--- a/src/main/java/brooklock/net/RawConnection.java
+++ b/src/main/java/brooklock/net/RawConnection.java
@@ -64,9 +64,6 @@
      */
     private static final long MAX_DISCARDED_BYTES = 256 * 1024;
 
-    /** Time after which a turn that may have left input has left none if no other followed, ns. */
-    private static final long END_OF_INPUT_DELAY_NS = 20_000_000L;
-
     private static final Logger LOG = LoggerFactory.getLogger(RawConnection.class);
 
     private EventListener listener;
@@ -78,8 +75,7 @@
     private boolean outputShutDown;
 
     private boolean outputLost;
-    private long turns;
-    private boolean endOfInputScheduled;
+    private final EndOfInputTimer endOfInputTimer;
 
     /** Whether the last turn of reading has left no input. */
     private boolean drained = true;
@@ -88,6 +84,7 @@
 
     RawConnection(IoLoop loop, StreamConnection channel) {
         super(loop, channel);
+        endOfInputTimer = new EndOfInputTimer(loop, this::onNoTurnFollowed);
         listenForReadiness();
     }
 
@@ -147,13 +144,10 @@
      * @param buffers the buffers, which must not be modified until they are written
      */
     public void write(ByteBuffer... buffers) {
-        if (isClosed()) {
-            return;
-        }
         boolean wasEmpty = writeQueue.isEmpty();
         enqueue(buffers);
         if (wasEmpty) {
-            onWritable();
+            flush();
         }
     }
 
@@ -225,9 +219,9 @@
 
     /**
      * Closes the connection once the queued output has been written. The sending side is then shut
-     * down, and further input is read and discarded until the peer closes too. Closing the socket
-     * while input is unread would instead reset the connection, and the peer might lose what was
-     * written. Does nothing if the connection is closed or a graceful close has been started.
+     * down, and further input is read and discarded until the peer closes too: a socket closed with
+     * unread input resets the connection, and the peer might lose what was written. Does nothing if
+     * the connection is closed or a graceful close has been started.
      *
      * @param timeoutNs maximum duration of the graceful close in nanoseconds, after which the
      *     connection is closed at once
@@ -277,11 +271,10 @@
         readTurn();
     }
 
-    // Reads until no input is left, but at most one full buffer. A buffer with room left does not
-    // prove that the input has ended: the peer may have closed the connection behind it. Returns
-    // whether any input was available.
+    // Reads until no input is left, but at most one full buffer; a buffer with room left does not
+    // tell whether the peer has closed the connection. Returns whether any input was available.
     private boolean readTurn() {
-        turns++;
+        endOfInputTimer.onTurn();
         boolean wasDrained = drained;
         ReadResult result = readOnce();
         boolean inputRead = result != ReadResult.NOTHING;
@@ -297,32 +290,18 @@
 
     private void onReadComplete() {
         if (!drained) {
-            scheduleEndOfInput();
+            endOfInputTimer.schedule();
         }
         if (!isClosed()) {
             callListener(() -> listener.onReadComplete(drained));
         }
     }
 
-    // After a turn that may have left input, the socket is ready only if it has. If no turn
-    // follows,
-    // none was left. The task does not read itself: the tasks of many connections whose peers send
-    // at full speed would keep the thread from polling the other sockets.
-    private void scheduleEndOfInput() {
-        if (endOfInputScheduled) {
-            return;
+    private void onNoTurnFollowed() {
+        if (!closed && !drained) {
+            drained = true;
+            onReadComplete();
         }
-        endOfInputScheduled = true;
-        long lastTurn = turns;
-        loop.schedule(
-                END_OF_INPUT_DELAY_NS,
-                () -> {
-                    endOfInputScheduled = false;
-                    if (!closed && !drained) {
-                        drained = turns == lastTurn;
-                        onReadComplete();
-                    }
-                });
     }
 
     private enum ReadResult {
@@ -355,8 +334,8 @@
         return ReadResult.NOTHING;
     }
 
-    // A bug in the listener closes only this connection. If it stayed open, its unconsumed bytes
-    // would be passed to the listener again and again.
+    // A bug in the listener closes only this connection. If it stayed open, the listener would get
+    // its unconsumed bytes again and again.
     private void callListener(Runnable call) {
         try {
             call.run();
--- a/src/main/java/brooklock/platform/ClientConnection.java
+++ b/src/main/java/brooklock/platform/ClientConnection.java
@@ -17,11 +17,8 @@
  * responses. When the client does not complete a message in time, the connection is closed as soon
  * as its open requests have been answered. It is closed gracefully when it has been idle for too
  * long, when it is evicted in favour of a new connection, when the dispatcher shuts down, and when
- * its input is malformed. During a shutdown only a bounded number of messages is processed. A
- * graceful close writes the pending responses, shuts down output, and then reads and drops input
- * until the client closes its side: closing a socket with unread input would reset the connection,
- * and responses already written would be lost. Open requests are cancelled when their connection
- * closes.
+ * its input is malformed. During a shutdown only a bounded number of messages is processed. Open
+ * requests are cancelled when their connection closes.
  */
 final class ClientConnection implements RawConnection.EventListener, PartialMessageMemory.Holder {
     /**
@@ -33,13 +30,6 @@
     // closes the connection; otherwise a client that sends only invalid calls could keep the
     // dispatcher busy.
     private static final int MAX_INVALID_CALLS = 4;
-    // Maximum number of messages per connection that are processed after the shutdown has begun:
-    // several times the open calls of a client that cancels or repeats each of them. Further input
-    // is discarded; otherwise a client that never stops sending could prevent the shutdown.
-    private static final int MAX_MESSAGES_DURING_SHUTDOWN = 8 * MAX_OPEN_CALLS;
-    // Time within which the next bytes of the first message, or the first byte on a new connection,
-    // must arrive, ns. Later messages are bounded by their whole duration only.
-    private static final long FIRST_MESSAGE_PROGRESS_TIMEOUT_NS = 2_000_000_000L;
     // Time for a client to close its side after output has been shut down, ns; enough for many
     // round trips.
     private static final long CLOSE_TIMEOUT_NS = 1_000_000_000L;
@@ -47,28 +37,22 @@
     private final ClientListener listener;
     private final RawConnection transport;
     private final ClientOutput output;
-    private RpcDecoder decoder = new RpcDecoder();
+    private final ClientInput input;
     private final Map<Long, PendingClientRequest> openRequests = new HashMap<>();
     private final HeldCalls heldCalls = new HeldCalls();
     private long idleSinceNs = System.nanoTime();
-    private long messageStartedAtNs;
     private int invalidCalls;
-    private int messagesDuringShutdown;
-    private long reportedOutputBytes;
-    private boolean outputReleased;
-    private boolean discardsInput;
-    private boolean hasSentMessage;
-    private boolean messageIncomplete;
 
     ClientConnection(ClientListener listener, RawConnection transport) {
         this.listener = listener;
         this.transport = transport;
-        output = new ClientOutput(transport);
+        input = new ClientInput(listener);
+        output = new ClientOutput(transport, listener.outputMemory());
     }
 
     /** Starts reading from the client. */
     void start() {
-        transport.setTimeout(FIRST_MESSAGE_PROGRESS_TIMEOUT_NS);
+        transport.setTimeout(ClientInput.FIRST_MESSAGE_PROGRESS_TIMEOUT_NS);
         transport.start(this);
     }
 
@@ -81,7 +65,7 @@
                 && openRequests.isEmpty()
                 && heldCalls.isEmpty()
                 && pendingWriteBytes() == 0
-                && !messageIncomplete;
+                && !input.isMessageIncomplete();
     }
 
     /**
@@ -95,7 +79,7 @@
      */
     boolean closeIfIdle() {
         boolean inputRead = isIdle() && transport.readNow();
-        boolean closable = isIdle() && (!inputRead || discardsInput);
+        boolean closable = isIdle() && (!inputRead || input.isDiscarding());
         if (closable) {
             closeGracefully();
         }
@@ -103,31 +87,27 @@
     }
 
     private void closeGracefully() {
+        if (transport.isClosed()) {
+            return;
+        }
         listener.partialCalls().update(this, 0);
         listener.onClosing();
         transport.closeGracefully(CLOSE_TIMEOUT_NS, this::onClosedGracefully);
     }
 
     private void onClosedGracefully() {
-        releaseOutputMemory();
+        output.releaseMemory();
         listener.onClosed(this);
     }
 
     /** Records the memory of the output that waits to be written. */
     void reportOutputMemory() {
-        long bytes = outputReleased ? 0 : pendingWriteBytes();
-        listener.outputMemory().add(bytes - reportedOutputBytes);
-        reportedOutputBytes = bytes;
-    }
-
-    private void releaseOutputMemory() {
-        outputReleased = true;
-        reportOutputMemory();
+        output.reportMemory();
     }
 
     /** Returns whether the client has sent at least one complete message. */
     boolean hasSentMessage() {
-        return hasSentMessage;
+        return input.hasReceivedMessage();
     }
 
     /** Returns the memory of the output that waits to be written, bytes. */
@@ -144,10 +124,10 @@
     }
 
     @Override
-    public void onBytes(ByteBuffer input) {
+    public void onBytes(ByteBuffer bytes) {
         output.startBatch();
         try {
-            decode(input);
+            decode(bytes);
         } catch (MalformedMessageException e) {
             closeForFault(e.getMessage());
         } finally {
@@ -167,18 +147,17 @@
         onOutputWritten();
     }
 
-    private void decode(ByteBuffer input) throws MalformedMessageException {
-        boolean messageStarted = !messageIncomplete;
-        for (RpcMessage message = nextMessage(input);
+    private void decode(ByteBuffer bytes) throws MalformedMessageException {
+        for (RpcMessage message = input.next(bytes);
                 message != null && !isGone();
-                message = nextMessage(input)) {
-            hasSentMessage = true;
-            messageStarted = true;
+                message = input.next(bytes)) {
             idleSinceNs = System.nanoTime();
             onMessage(message);
         }
-        messageIncomplete = !discardsInput && (decoder.hasPartialMessage() || input.hasRemaining());
-        checkMessageDuration(messageStarted);
+        input.onReadEnd(bytes);
+        if (input.isOverdue()) {
+            closeAfterResponses("a client that takes too long for a message");
+        }
         if (!transport.isClosed()) {
             updateTimeout();
             updateHeldMemory();
@@ -186,22 +165,7 @@
     }
 
     private void updateHeldMemory() {
-        int partialBytes = discardsInput ? 0 : decoder.partialBytes();
-        listener.partialCalls().update(this, partialBytes + heldCalls.bodyBytes());
-    }
-
-    // Returns the next message, or null if more input is needed or input is discarded.
-    private RpcMessage nextMessage(ByteBuffer input) throws MalformedMessageException {
-        discardsInput |= messagesDuringShutdown == MAX_MESSAGES_DURING_SHUTDOWN;
-        if (discardsInput) {
-            input.position(input.limit());
-            return null;
-        }
-        RpcMessage message = decoder.next(input);
-        if (message != null && listener.isRejectingRequests()) {
-            messagesDuringShutdown++;
-        }
-        return message;
+        listener.partialCalls().update(this, input.partialBytes() + heldCalls.bodyBytes());
     }
 
     private void closeForFault(String reason) {
@@ -215,46 +179,26 @@
         return transport.readNow();
     }
 
-    // The rest of the call is received and dropped, and the call is rejected. If the connection
-    // were
-    // closed instead, the client would also lose the responses to its open requests.
+    // The rest of the call is received and dropped, and the call is rejected. Closing the
+    // connection
+    // instead would also cost the client the responses to its open requests.
     @Override
     public void giveUpPartialMessage() {
         if (!heldCalls.isEmpty()) {
             submitHeldCalls();
         }
-        if (decoder.discardPartialCall() || decoder.partialBytes() == 0) {
+        if (input.discardPartialCall()) {
             listener.partialCalls().update(this, 0);
         } else {
             closeForFault("the partially received calls of all clients take too much memory");
         }
     }
 
-    // Bounds the duration of a whole message. The progress timeout alone is not enough: a client
-    // that sends one byte at a time restarts it with each byte and could occupy its connection
-    // indefinitely.
-    private void checkMessageDuration(boolean messageStarted) {
-        if (messageStarted) {
-            messageStartedAtNs = System.nanoTime();
-        } else if (remainingMessageTimeNs() < 0) {
-            closeAfterResponses(
-                    "expected a complete message within "
-                            + listener.messageTimeoutNs() / 1_000_000
-                            + " ms of its first byte but the message is still incomplete");
-        }
-    }
-
-    private long remainingMessageTimeNs() {
-        return listener.messageTimeoutNs() - (System.nanoTime() - messageStartedAtNs);
-    }
-
     // Drops the incomplete message and all further input, and closes the connection once its open
     // requests have been answered: these are complete and must not suffer from the incomplete one.
     private void closeAfterResponses(String reason) {
         listener.logClientFault(reason);
-        discardsInput = true;
-        messageIncomplete = false;
-        decoder = new RpcDecoder();
+        input.discardRest();
         listener.partialCalls().update(this, 0);
         if (!output.isPending()) {
             transport.clearTimeout();
@@ -263,7 +207,7 @@
     }
 
     private void closeIfAllAnswered() {
-        if (discardsInput && isIdle()) {
+        if (input.isDiscarding() && isIdle()) {
             closeGracefully();
         }
     }
@@ -272,13 +216,9 @@
         if (output.isPending()) {
             return;
         }
-        if (messageIncomplete) {
-            long remainingNs = Math.max(1, remainingMessageTimeNs());
-            transport.setTimeout(
-                    hasSentMessage
-                            ? remainingNs
-                            : Math.min(remainingNs, FIRST_MESSAGE_PROGRESS_TIMEOUT_NS));
-        } else if (hasSentMessage) {
+        if (input.isMessageIncomplete()) {
+            transport.setTimeout(input.timeoutNs());
+        } else if (input.hasReceivedMessage()) {
             transport.clearTimeout();
         }
     }
@@ -392,41 +332,16 @@
     }
 
     /**
-     * Sends the object as the final response or, if the client's copy is current, a response
-     * without a body that states so.
-     */
-    void respondServed(PendingClientRequest request, AttemptResult result) {
-        if (closeRequest(request)) {
-            write(
-                    result.notModified()
-                            ? RpcEncoder.notModified(request.messageId())
-                            : RpcEncoder.served(request.messageId(), result.body()));
-        }
-    }
-
-    /**
-     * Sends a rejection as the final response. The client may retry it: either the request was not
-     * executed, or executing it again is harmless.
+     * Sends the final response to a request. Does nothing if the client has cancelled it.
      *
-     * @param retryAfterNs the delay after which the client may retry, ns; 0 to omit it
+     * @param response the encoded response, with the message id of the request
      */
-    void respondRejected(PendingClientRequest request, long retryAfterNs) {
-        if (closeRequest(request)) {
-            write(RpcEncoder.rejected(request.messageId(), retryAfterNs));
-        }
-    }
-
-    /** Sends an error as the final response. The request may have been executed. */
-    void respondFailed(PendingClientRequest request) {
-        if (closeRequest(request)) {
-            write(RpcEncoder.error(request.messageId(), RpcError.FAILED));
+    void respond(PendingClientRequest request, ByteBuffer... response) {
+        if (openRequests.remove(request.messageId(), request)) {
+            write(response);
         }
     }
 
-    private boolean closeRequest(PendingClientRequest request) {
-        return openRequests.remove(request.messageId(), request);
-    }
-
     private void write(ByteBuffer... buffers) {
         idleSinceNs = System.nanoTime();
         output.write(buffers);
@@ -436,7 +351,6 @@
     }
 
     private void onOutputWritten() {
-        reportOutputMemory();
         listener.onOutputQueued();
         closeIfAllAnswered();
     }
@@ -444,7 +358,6 @@
     @Override
     public void onAllWritten() {
         output.onAllWritten();
-        reportOutputMemory();
         updateTimeout();
         closeIfAllAnswered();
     }
@@ -471,7 +384,7 @@
     /** Closes the connection immediately and cancels its open requests. */
     void close() {
         transport.close();
-        releaseOutputMemory();
+        output.releaseMemory();
         listener.partialCalls().update(this, 0);
         listener.remove(this);
         cancelOpenRequests();
--- a/src/main/java/brooklock/platform/ClientOutput.java
+++ b/src/main/java/brooklock/platform/ClientOutput.java
@@ -20,12 +20,22 @@
     private static final long BUFFER_OVERHEAD_BYTES = RpcEncoder.HEAD_CAPACITY_BYTES + 64;
 
     private final RawConnection transport;
+    private final MemoryBudget.Account memory;
+    private long reportedBytes;
+    private boolean released;
     private boolean batching;
     private boolean pending;
     private long writtenBytesAtLastCheck;
 
-    ClientOutput(RawConnection transport) {
+    /**
+     * Creates an output.
+     *
+     * @param transport the connection
+     * @param memory the account of the output that waits to be written to all clients
+     */
+    ClientOutput(RawConnection transport, MemoryBudget.Account memory) {
         this.transport = transport;
+        this.memory = memory;
     }
 
     /**
@@ -62,6 +72,7 @@
     }
 
     private void onWritten() {
+        reportMemory();
         if (transport.isClosed()) {
             return;
         }
@@ -92,9 +103,23 @@
         return transport.pendingBytes() + transport.pendingBuffers() * BUFFER_OVERHEAD_BYTES;
     }
 
+    /** Records the memory of the output in its account. */
+    void reportMemory() {
+        long bytes = released ? 0 : pendingBytes();
+        memory.add(bytes - reportedBytes);
+        reportedBytes = bytes;
+    }
+
+    /** Releases the memory of the output for good; called when the connection has closed. */
+    void releaseMemory() {
+        released = true;
+        reportMemory();
+    }
+
     /** Called when all output has been written; resumes reading. */
     void onAllWritten() {
         pending = false;
+        reportMemory();
         transport.setReading(true);
     }
 
--- a/src/main/java/brooklock/platform/PendingClientRequestTable.java
+++ b/src/main/java/brooklock/platform/PendingClientRequestTable.java
@@ -13,7 +13,7 @@
     private static final int MAX_PENDING_REQUESTS = 8192;
 
     /** Memory of a request with its attempts and timers, without its body, bytes. */
-    static final int REQUEST_BYTES = 2048;
+    static final long REQUEST_BYTES = 2048;
 
     private static final long NS_PER_MS = 1_000_000L;
 
--- a/src/main/java/brooklock/platform/RecentIdSet.java
+++ b/src/main/java/brooklock/platform/RecentIdSet.java
@@ -61,9 +61,9 @@
     // Returns the slot that holds the id, or the free slot in which it belongs.
     private static int findSlot(long[] slots, long id) {
         int mask = slots.length - 1;
-        int slot = (int) (id * HASH_MULTIPLIER >>> 32) & mask;
+        int slot = (int) ((id * HASH_MULTIPLIER) >>> 32) & mask;
         while (slots[slot] != 0 && slots[slot] != id) {
-            slot = slot + 1 & mask;
+            slot = (slot + 1) & mask;
         }
         return slot;
     }
--- a/src/main/java/brooklock/platform/ReconnectBackoff.java
+++ b/src/main/java/brooklock/platform/ReconnectBackoff.java
@@ -34,7 +34,7 @@
      */
     ReconnectBackoff(long seed, long graceNs) {
         random = new SplittableRandom(seed);
-        long longestBackoffNs = (long) (graceNs / GRACE_DIVISOR / MAX_JITTER);
+        long longestBackoffNs = (long) ((double) graceNs / GRACE_DIVISOR / MAX_JITTER);
         maxBackoffNs = Math.max(MIN_MAX_BACKOFF_NS, Math.min(MAX_BACKOFF_NS, longestBackoffNs));
         reset();
     }
--- a/src/main/java/brooklock/platform/RequestExecutor.java
+++ b/src/main/java/brooklock/platform/RequestExecutor.java
@@ -195,7 +195,12 @@
         if (result.outcome() == AttemptOutcome.OK && !request.isCompleted()) {
             requests.complete(request);
             stats.recordServed(clock.nowNs() - request.acceptedAtNs());
-            request.connection().respondServed(request, result);
+            request.connection()
+                    .respond(
+                            request,
+                            result.notModified()
+                                    ? RpcEncoder.notModified(request.messageId())
+                                    : RpcEncoder.served(request.messageId(), result.body()));
         }
         submit(
                 new RouterEvent.AttemptCompleted(
@@ -275,7 +280,10 @@
         if (request != null) {
             requests.complete(request);
             stats.recordRejected();
-            request.connection().respondRejected(request, reject.retryAfterNs());
+            request.connection()
+                    .respond(
+                            request,
+                            RpcEncoder.rejected(request.messageId(), reject.retryAfterNs()));
         }
     }
 
@@ -284,7 +292,8 @@
         if (request != null) {
             requests.complete(request);
             stats.recordFailed();
-            request.connection().respondFailed(request);
+            request.connection()
+                    .respond(request, RpcEncoder.error(request.messageId(), RpcError.FAILED));
         }
     }
 
--- a/src/main/java/brooklock/routing/PendingRequest.java
+++ b/src/main/java/brooklock/routing/PendingRequest.java
@@ -61,9 +61,6 @@
      */
     long firstAttemptAtNs;
 
-    /** Whether an earlier request with the same idempotency key may have been executed. */
-    boolean keySentBefore;
-
     /** Whether the request has had its final response or its client has disconnected. */
     boolean finished;
 
@@ -79,13 +76,6 @@
      */
     boolean parentMissed;
 
-    /** Records that an earlier request with the same idempotency key may have been executed. */
-    void onKeySentBefore(long sentAtNs) {
-        keySentBefore = true;
-        mayHaveExecuted = true;
-        firstAttemptAtNs = sentAtNs;
-    }
-
     PendingRequest(
             RequestReceived event,
             RequestClass requestClass,
@@ -108,10 +98,29 @@
                         + (long) (requestClass.latencyObjectiveWorkFactor() * workNs);
     }
 
+    /**
+     * Records that an earlier request with the same idempotency key may have been executed, whose
+     * first attempt was started at the specified time. Called before the first attempt.
+     */
+    PendingRequest withKeySentAt(long sentAtNs) {
+        mayHaveExecuted = true;
+        firstAttemptAtNs = sentAtNs;
+        return this;
+    }
+
     long id() {
         return event.id();
     }
 
+    /** Adds an attempt that is started at {@code now}. */
+    void addAttempt(Attempt attempt, long now) {
+        if (attempts.isEmpty() && !mayHaveExecuted) {
+            firstAttemptAtNs = now;
+        }
+        attempts.add(attempt);
+        openAttempts++;
+    }
+
     Attempt lastAttempt() {
         return attempts.get(attempts.size() - 1);
     }
--- a/src/main/java/brooklock/routing/Router.java
+++ b/src/main/java/brooklock/routing/Router.java
@@ -89,9 +89,7 @@
         if (event instanceof RequestReceived e) {
             onRequest(accept(e));
         } else if (event instanceof KeyedRetryReceived e) {
-            PendingRequest request = accept(e.request());
-            request.onKeySentBefore(e.keyFirstSentAtNs());
-            onRequest(request);
+            onRequest(accept(e.request()).withKeySentAt(e.keyFirstSentAtNs()));
         } else if (event instanceof AttemptCompleted e) {
             onAttemptCompleted(e);
         } else if (event instanceof TimerFired e) {
@@ -187,11 +185,7 @@
     private void send(PendingRequest request, Attempt attempt) {
         RoutedEndpoint endpoint = attempt.endpoint;
         RoutedEndpoint fillSource = attempt.fillSource;
-        if (request.attempts.isEmpty() && !request.keySentBefore) {
-            request.firstAttemptAtNs = now;
-        }
-        request.attempts.add(attempt);
-        request.openAttempts++;
+        request.addAttempt(attempt, now);
         outliers.onAttemptStarted(endpoint, now);
         admission.acquire(request, attempt);
         chargeUse(endpoint, request);
