Let clients that do not read give memory back first, and bound its reads

Cause: whoever noticed that the sum was over its bound gave up its own memory, so responses went first while slow readers held it; and each such read read from up to all connections to endpoints. Evidence: stack samples of the I/O thread within PartialMessageMemory.giveUpMessages; MemoryBudgetTest .clientsThatDoNotReadGiveMemoryBackFirst asks for the order. Change: an account enforces its own maximum at once and the sum in a task of its own, in a fixed order; at most 16 connections are read each time. It works because the memory comes from whom it is held for, in a bounded turn. The tests of memory and client limits, format and linters pass.

--- a/src/main/java/brooklock/platform/MemoryBudget.java
+++ b/src/main/java/brooklock/platform/MemoryBudget.java
@@ -32,6 +32,7 @@
     private final Account clientOutput;
     private long usedBytes;
     private boolean reclaimScheduled;
+    private boolean reclaiming;
 
     /**
      * Creates a budget without uses.
@@ -46,10 +47,13 @@
         long accountMaxBytes = heapBytes / MAX_HEAP_DIVISOR;
         // Incomplete calls may borrow all that is free: rejecting a call frees its memory at once
         // and harms no other call.
+        // The order in which memory is given back: first by clients that do not read, then by
+        // calls,
+        // whose clients may retry, and then by responses, whose requests may have been executed.
+        clientOutput = new Account(guaranteedBytes, accountMaxBytes);
         partialCalls = new Account(guaranteedBytes, maxBytes);
-        requests = new Account(guaranteedBytes, accountMaxBytes);
         partialResponses = new Account(guaranteedBytes, accountMaxBytes);
-        clientOutput = new Account(guaranteedBytes, accountMaxBytes);
+        requests = new Account(guaranteedBytes, accountMaxBytes);
     }
 
     /** Returns the account of the calls that clients have sent in part. */
@@ -87,10 +91,15 @@
 
     private void reclaim() {
         reclaimScheduled = false;
-        for (Account account : accounts) {
-            if (account.isExceeded()) {
-                account.reclaimer.run();
+        reclaiming = true;
+        try {
+            for (Account account : accounts) {
+                if (account.isExceeded()) {
+                    account.reclaimer.run();
+                }
             }
+        } finally {
+            reclaiming = false;
         }
     }
 
@@ -144,9 +153,14 @@
             return isWithin(accountUsedBytes + bytes, usedBytes + bytes);
         }
 
-        /** Returns whether this account must give memory back. */
+        /**
+         * Returns whether this account must give memory back: because it exceeds its own maximum
+         * or, while memory is reclaimed in the order of the accounts, because it has borrowed and
+         * the sum exceeds the budget.
+         */
         boolean isExceeded() {
-            return !isWithin(accountUsedBytes, usedBytes);
+            return accountUsedBytes > accountMaxBytes
+                    || (reclaiming && !isWithin(accountUsedBytes, usedBytes));
         }
 
         private boolean isWithin(long accountBytes, long allBytes) {
--- a/src/main/java/brooklock/platform/PartialMessageMemory.java
+++ b/src/main/java/brooklock/platform/PartialMessageMemory.java
@@ -30,6 +30,9 @@
         void giveUpPartialMessage();
     }
 
+    // Maximum number of connections that are read each time the bound is enforced.
+    private static final int MAX_READS = 16;
+
     private final MemoryBudget.Account account;
     // Ordered by the time of the last received byte, the longest ago first.
     private final Map<Holder, Integer> bytesByHolder = new LinkedHashMap<>();
@@ -82,11 +85,10 @@
         }
     }
 
-    // The last message is kept whatever its size: no other message needs its memory. Only as many
-    // reads are made as there are messages at first, because peers that send at full speed could
-    // otherwise prolong the loop indefinitely.
+    // The last message is kept whatever its size: no other message needs its memory. The number of
+    // reads is bounded, because many peers that send at full speed could otherwise hold the thread.
     private void giveUpMessages(Holder current) {
-        int readsLeft = bytesByHolder.size();
+        int readsLeft = Math.min(MAX_READS, bytesByHolder.size());
         while (account.isExceeded() && bytesByHolder.size() > 1) {
             Holder waitingLongest = bytesByHolder.keySet().iterator().next();
             // The connection that is being read must not be read again within that read.
